--- a/src/coltsfootshift/platform/http.py
+++ b/src/coltsfootshift/catalogueservice/http.py
@@ -10,7 +10,7 @@
 from twisted.web.client import HTTPConnectionPool
 
 from coltsfootshift.messages import Difference, VersionedRecord
-from coltsfootshift.platform.base import Platform, PlatformError
+from coltsfootshift.catalogueservice.base import Platform, PlatformError
 
 __all__ = ["HttpPlatform"]
 
--- /dev/null
+++ b/src/coltsfootshift/gateway/callers.py
@@ -0,0 +1,287 @@
+"""The callers' side of HTTP/1.1: reads whole requests, writes answers, bounds what may be sent."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from coltsfootshift.gateway.calls import Headers
+from coltsfootshift.gateway.model import CallerLimits
+
+__all__ = ["CallerConnection", "CallerFactory", "CallHandler", "IncomingCall"]
+
+RECEIVE_PAUSE_BYTES = 256 * 1024  # an answer's bytes waiting for a slow caller before reads pause
+KEEP_ALIVE_SECONDS = 60  # idle seconds allowed to kept connections in the kernel before probes
+
+_REASONS = {
+    200: b"OK",
+    408: b"Request Timeout",
+    413: b"Content Too Large",
+    429: b"Too Many Requests",
+    431: b"Request Header Fields Too Large",
+    503: b"Service Unavailable",
+}
+
+
+class IncomingCall:
+    """One request as it was read, and the way back to its caller.
+
+    `on_gone` is called once if the caller's connection ends before the answer does.
+    """
+
+    def __init__(
+        self, connection: CallerConnection, head: h11.Request, body: bytes, arrived_at: float
+    ) -> None:
+        self.method: bytes = head.method
+        self.target: bytes = head.target
+        self.headers = head.headers
+        self.body = body
+        self.arrived_at = arrived_at
+        self.on_gone: Callable[[], None] | None = None
+        self.begun = False
+        self.done = False
+        self._connection = connection
+
+    @property
+    def gone(self) -> bool:
+        """Whether the caller's connection has ended."""
+        return not self._connection.open
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Send a whole answer."""
+        framing = [(b"Content-Length", str(len(body)).encode())]
+        self.begin(status, headers + framing)
+        if body:
+            self.write(body)
+        self.finish()
+
+    def begin(self, status: int, headers: Headers) -> None:
+        """Send the head of an answer."""
+        if self.gone or self.begun:
+            return
+        self.begun = True
+        self._connection.send_head(status, headers)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes of the answer's body."""
+        if not self.gone and not self.done:
+            self._connection.send_data(data)
+
+    def finish(self) -> None:
+        """End the answer as complete."""
+        if self.done:
+            return
+        self.done = True
+        if not self.gone:
+            self._connection.end_answer()
+
+    def abort(self) -> None:
+        """Close the connection, so that the answer cannot look complete."""
+        self.done = True
+        self._connection.abort()
+
+
+class CallHandler(ABC):
+    """Takes the calls that callers' connections have read."""
+
+    @property
+    @abstractmethod
+    def limits(self) -> CallerLimits:
+        """The limits in force now."""
+
+    @property
+    @abstractmethod
+    def closing(self) -> bool:
+        """Whether connections are closed after the answer in progress."""
+
+    @abstractmethod
+    def take_call(self, call: IncomingCall) -> None:
+        """Answer a call, now or later."""
+
+
+class CallerConnection(Protocol):
+    """One connection of a caller; requests on it are answered one after the other."""
+
+    transport: Any
+
+    def __init__(self, handler: CallHandler, reactor: Any) -> None:
+        self.open = False
+        self._handler = handler
+        self._reactor = reactor
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
+        )
+        self._head: h11.Request | None = None
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._call: IncomingCall | None = None
+        self._timer: Any = None
+        self._refused = False
+
+    def connectionMade(self) -> None:
+        """Expect the head of a request."""
+        self.open = True
+        self.transport.setTcpNoDelay(True)
+        self.transport.setTcpKeepAlive(True)
+        self._wait(self._handler.limits.idle_timeout, self._end_idle)
+
+    def dataReceived(self, data: bytes) -> None:
+        """Read on."""
+        if self._refused:
+            return
+        self._http.receive_data(data)
+        if self._head is None and self._call is None:
+            self._wait(self._handler.limits.header_timeout, self._end_slow)
+        self._read_events()
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """Tell the call in progress that its caller is gone."""
+        self.open = False
+        self._stop_timer()
+        call, self._call = self._call, None
+        if call is not None and not call.done and call.on_gone is not None:
+            call.on_gone()
+
+    def send_head(self, status: int, headers: Headers) -> None:
+        """Send the head of the answer to the call in progress."""
+        if self._handler.closing:
+            headers = [*headers, (b"Connection", b"close")]
+        reason = _REASONS.get(status, b"Answer")
+        self._send(h11.Response(status_code=status, headers=headers, reason=reason))
+
+    def send_data(self, data: bytes) -> None:
+        """Send bytes of the answer's body."""
+        self._send(h11.Data(data=data))
+
+    def end_answer(self) -> None:
+        """End the answer, then read the next request or close."""
+        self._send(h11.EndOfMessage())
+        self._call = None
+        if not self.open:
+            return
+        if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
+            self.transport.loseConnection()
+            return
+        self._http.start_next_cycle()
+        self._head = None
+        if self._handler.closing:
+            self.transport.loseConnection()
+            return
+        self._wait(self._handler.limits.idle_timeout, self._end_idle)
+        self._read_events()
+
+    def abort(self) -> None:
+        """End the connection without flushing."""
+        self._call = None
+        if self.open:
+            self.transport.abortConnection()
+
+    def close_idle(self) -> None:
+        """Close the connection where no request is in progress on it."""
+        if self.open and self._call is None and self._head is None:
+            self.transport.loseConnection()
+
+    def _send(self, event: Any) -> None:
+        try:
+            data = self._http.send(event)
+        except h11.LocalProtocolError:
+            self.abort()
+            raise
+        if data and self.open:
+            self.transport.write(data)
+
+    def _read_events(self) -> None:
+        while self.open and self._call is None and not self._refused:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                self._refuse(error.error_status_hint)
+                return
+            if event is h11.NEED_DATA or event is h11.PAUSED:
+                self._ask_for_body()
+                return
+            if isinstance(event, h11.ConnectionClosed):
+                return
+            self._take_event(event)
+
+    def _ask_for_body(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(h11.InformationalResponse(status_code=100, headers=[]))
+
+    def _take_event(self, event: Any) -> None:
+        if isinstance(event, h11.Request):
+            self._head = event
+            self._body = []
+            self._body_bytes = 0
+            return
+        if isinstance(event, h11.Data):
+            self._body.append(bytes(event.data))
+            self._body_bytes += len(event.data)
+            if self._body_bytes > self._handler.limits.body_bytes:
+                self._refuse(413)
+            return
+        if isinstance(event, h11.EndOfMessage) and self._head is not None:
+            self._stop_timer()
+            body = b"".join(self._body)
+            self._body = []
+            call = IncomingCall(self, self._head, body, self._reactor.seconds())
+            self._call = call
+            self._handler.take_call(call)
+
+    def _refuse(self, status: int) -> None:
+        """Answer a request that cannot be read, then close."""
+        self._refused = True
+        self._stop_timer()
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
+            reason = _REASONS.get(status, b"Error")
+            self._send(h11.Response(status_code=status, headers=headers, reason=reason))
+            self._send(h11.EndOfMessage())
+        self.transport.loseConnection()
+
+    def _end_idle(self) -> None:
+        self._timer = None
+        if self._call is None and self._head is None:
+            self.transport.loseConnection()
+
+    def _end_slow(self) -> None:
+        self._timer = None
+        if self._call is None:
+            self._refuse(408)
+
+    def _wait(self, seconds: float, end: Callable[[], None]) -> None:
+        self._stop_timer()
+        self._timer = self._reactor.callLater(seconds, end)
+
+    def _stop_timer(self) -> None:
+        if self._timer is not None and self._timer.active():
+            self._timer.cancel()
+        self._timer = None
+
+
+class CallerFactory(Factory):
+    """Accepts callers' connections and remembers those that are open."""
+
+    noisy = False
+
+    def __init__(self, handler: CallHandler, reactor: Any) -> None:
+        self._handler = handler
+        self._reactor = reactor
+        self._connections: set[CallerConnection] = set()
+
+    def buildProtocol(self, addr: Any) -> CallerConnection:
+        """Make the protocol of an accepted connection."""
+        self._connections = {item for item in self._connections if item.open or not item.connected}
+        connection = CallerConnection(self._handler, self._reactor)
+        self._connections.add(connection)
+        return connection
+
+    def close_idle(self) -> None:
+        """Close the connections on which no request is in progress."""
+        for connection in list(self._connections):
+            connection.close_idle()
--- /dev/null
+++ b/src/coltsfootshift/gateway/events.py
@@ -0,0 +1,51 @@
+"""Cuts a stream of server-sent events into whole events and remembers the last id passed on."""
+
+from __future__ import annotations
+
+import re
+
+__all__ = ["EventCutter"]
+
+_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_ID = re.compile(rb"(?:^|\n|\r)id:[ ]?([^\r\n]*)")
+
+
+class EventCutter:
+    """Holds back the bytes of an unfinished event, so that a resumed stream has no half of one.
+
+    >>> cutter = EventCutter("")
+    >>> cutter.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
+    b'id: 1\\ndata: a\\n\\n'
+    >>> cutter.last_id, cutter.whole
+    ('1', False)
+    """
+
+    def __init__(self, last_id: str) -> None:
+        self.last_id = last_id
+        self.events = 0
+        self._rest = b""
+
+    @property
+    def whole(self) -> bool:
+        """Whether no unfinished event is held back."""
+        return not self._rest
+
+    def feed(self, data: bytes) -> bytes:
+        """Return the bytes of the events that are whole now."""
+        self._rest += data
+        end = 0
+        for match in _END.finditer(self._rest):
+            self._note(self._rest[end : match.end()])
+            end = match.end()
+        whole, self._rest = self._rest[:end], self._rest[end:]
+        return whole
+
+    def restart(self) -> None:
+        """Drop an unfinished event, before the stream goes on from another endpoint."""
+        self._rest = b""
+
+    def _note(self, event: bytes) -> None:
+        self.events += 1
+        match = _ID.search(event)
+        if match is not None:
+            self.last_id = match.group(1).decode("latin-1")
--- /dev/null
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -0,0 +1,250 @@
+"""The task that keeps entries and agents in step: roster, tables, notices of engines."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from random import Random
+from typing import Any
+
+import msgspec
+from twisted.internet.task import LoopingCall
+
+from coltsfootshift.controllers.rings import rank_by_hash
+from coltsfootshift.gateway.knowledge import Item, Knowledge, Table, TableAnswer
+from coltsfootshift.gateway.roster import Roster
+from coltsfootshift.ids import InstanceId, Purpose
+from coltsfootshift.logs import get_logger
+from coltsfootshift.messages import (
+    EngineNotice,
+    EntryRow,
+    KnowledgeAsked,
+    KnowledgeItem,
+    KnowledgeRow,
+    KnowledgeStated,
+    KnowledgeTold,
+    Leaving,
+    Message,
+    RosterTold,
+)
+from coltsfootshift.settings import Address
+from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
+
+__all__ = ["FleetObserver", "FleetTask"]
+
+TICK_SECONDS = 0.5
+MOST_PEERS = 16  # beyond this many entries each keeps streams to the next on a hash ring
+FOLLOWED_ENTRIES = 2  # an agent learns from this many entries, so that one may die
+
+logger = get_logger("gateway.fleet")
+
+
+class FleetObserver(ABC):
+    """Is told of what the fleet task learns."""
+
+    @abstractmethod
+    def knowledge_changed(self) -> None:
+        """The tables have changed."""
+
+    @abstractmethod
+    def roster_changed(self) -> None:
+        """Entries have come, gone or changed."""
+
+    @abstractmethod
+    def engine_told(self, notice: EngineNotice) -> None:
+        """An agent told what its engine serves."""
+
+
+class FleetTask(StreamOwner):
+    """Owns the streams to entries.
+
+    Entries tell each other who they are and which revisions they hold, so that an entry that the
+    store refuses learns changes, and their confirmation, from one that it serves. Agents only
+    follow. `sent_at` bounds the age of what is told: a message that waited in a suspended
+    process counts as late.
+    """
+
+    def __init__(
+        self,
+        context: StreamContext,
+        known: Knowledge,
+        roster: Roster,
+        seeds: list[Address],
+        own_address: Address | None,
+        observer: FleetObserver,
+        rng: Random,
+    ) -> None:
+        self._context = context
+        self._known = known
+        self._roster = roster
+        self._seeds = seeds
+        self._own_address = own_address
+        self._observer = observer
+        self._rng = rng
+        self._streams: dict[InstanceId, PeerStream] = {}
+        self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
+        self._asked: dict[tuple[InstanceId, Table], int] = {}
+        self._loop = LoopingCall(self._tick)
+        self._loop.clock = context.reactor
+
+    @property
+    def peers(self) -> list[InstanceId]:
+        """The processes that a stream is open to."""
+        return sorted(self._streams)
+
+    def start(self) -> None:
+        """Dial the seeds and start the ticks."""
+        self._choose_peers()
+        self._loop.start(TICK_SECONDS, now=True)
+
+    def announce(self) -> None:
+        """Tell all peers the own row and revisions now."""
+        if self._roster.own is not None:
+            own = self._roster.own
+            self._roster.own = msgspec.structs.replace(own, sequence=own.sequence + 1)
+            self._broadcast(RosterTold([self._roster.own]))
+        if self._roster.own is not None:
+            self._broadcast(self._make_state())
+
+    def tell_engine(self, notice: EngineNotice) -> None:
+        """Tell the followed entries what the engine serves."""
+        self._broadcast(notice)
+
+    def stream_opened(self, stream: PeerStream) -> None:
+        """Greet a peer with the roster and the revisions held."""
+        held = self._streams.get(stream.peer_id)
+        self._streams[stream.peer_id] = stream
+        if held is not None:
+            held.abort("replaced by a newer stream")
+        stream.set_needed(True)
+        logger.info("peer connected", extra={"peer": stream.peer_id})
+        if self._roster.own is not None:
+            stream.send(RosterTold(self._roster.list_rows()))
+            stream.send(self._make_state())
+
+    def stream_closed(self, stream: PeerStream, reason: str) -> None:
+        """Forget the stream."""
+        if self._streams.get(stream.peer_id) is stream:
+            del self._streams[stream.peer_id]
+            logger.info("peer lost", extra={"peer": stream.peer_id, "cause": reason})
+
+    def stream_received(self, stream: PeerStream, message: Message) -> None:
+        """Take a message of a peer."""
+        if isinstance(message, RosterTold):
+            self._take_roster(message)
+        elif isinstance(message, KnowledgeStated):
+            self._take_state(stream, message)
+        elif isinstance(message, KnowledgeAsked):
+            self._answer(stream, message)
+        elif isinstance(message, KnowledgeTold):
+            self._take_items(stream, message)
+        elif isinstance(message, EngineNotice):
+            self._observer.engine_told(message)
+        elif not isinstance(message, Leaving):
+            stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
+
+    def _tick(self) -> None:
+        now = self._context.reactor.seconds()
+        silent = self._roster.forget_silent(now)
+        for name in silent:
+            logger.info("entry silent", extra={"entry": name})
+        self._choose_peers()
+        if silent:
+            self._observer.roster_changed()
+        self.announce()
+
+    def _choose_peers(self) -> None:
+        addresses = list(self._seeds)
+        for row in self._roster.list_rows():
+            addresses.append(Address(row.host, row.peer_port))
+        targets = {}
+        for address in addresses:
+            if address != self._own_address:
+                targets[InstanceId(f"{address.host}:{address.port}")] = address
+        most = MOST_PEERS if self._own_address is not None else FOLLOWED_ENTRIES
+        if len(targets) > most:
+            own = self._context.make_hello(Purpose.ENTRIES).instance
+            chosen = rank_by_hash(own, list(targets))[:most]
+            targets = {InstanceId(name): targets[InstanceId(name)] for name in chosen}
+        self._dialer.set_targets(targets)
+
+    def _take_roster(self, message: RosterTold) -> None:
+        news = self._roster.take(message.rows, self._context.reactor.seconds())
+        if not news:
+            return
+        for row in news:
+            logger.info(
+                "entry told",
+                extra={"entry": row.instance, "ready": row.ready, "leaving": row.leaving},
+            )
+        if self._roster.own is not None:
+            self._broadcast(RosterTold(news))
+        self._observer.roster_changed()
+        self._choose_peers()
+
+    def _take_state(self, stream: PeerStream, message: KnowledgeStated) -> None:
+        now = self._context.reactor.seconds()
+        for row in message.rows:
+            table = Table(row.table)
+            held = self._known.get_revision(table)
+            if row.revision == held:
+                self._known.confirm(table, held, now - row.age - stream.transit_delay)
+            elif row.revision > held:
+                self._ask(stream, table, row.revision)
+
+    def _ask(self, stream: PeerStream, table: Table, revision: int) -> None:
+        """Ask for a difference, once for each revision that the peer tells of."""
+        if self._asked.get((stream.peer_id, table)) == revision:
+            return
+        self._asked[stream.peer_id, table] = revision
+        stream.send(KnowledgeAsked(table.value, self._known.get_revision(table)))
+
+    def _answer(self, stream: PeerStream, message: KnowledgeAsked) -> None:
+        table = Table(message.table)
+        now = self._context.reactor.seconds()
+        items, keys = self._known.list_items(table, message.after)
+        rows = [KnowledgeItem(i.key, i.revision, i.value) for i in items if i.value is not None]
+        revision = self._known.get_revision(table)
+        age = self._known.measure_age(table, now)
+        stream.send(KnowledgeTold(table.value, revision, age, rows, keys, now))
+
+    def _take_items(self, stream: PeerStream, message: KnowledgeTold) -> None:
+        table = Table(message.table)
+        self._asked.pop((stream.peer_id, table), None)
+        now = self._context.reactor.seconds()
+        told = [Item(row.key, row.revision, row.value) for row in message.items]
+        items = self._known.complete_items(table, told, message.keys)
+        confirmed_at = now - message.age - stream.transit_delay
+        answer = TableAnswer(table, tuple(items), message.revision, True, confirmed_at)
+        if self._known.apply(answer, now):
+            logger.info(
+                "table learnt from a peer",
+                extra={"table": table.value, "peer": stream.peer_id,
+                       "revision": message.revision, "age": round(message.age, 3)},
+            )
+            self._observer.knowledge_changed()
+            if self._roster.own is not None:
+                self._broadcast(self._make_state())
+
+    def _make_state(self) -> KnowledgeStated:
+        now = self._context.reactor.seconds()
+        rows = []
+        for table in Table:
+            revision = self._known.get_revision(table)
+            if revision:
+                age = self._known.measure_age(table, now)
+                rows.append(KnowledgeRow(table.value, revision, age))
+        return KnowledgeStated(rows, now)
+
+    def _broadcast(self, message: Message) -> None:
+        for stream in list(self._streams.values()):
+            stream.send(message)
+
+
+def make_row(
+    instance: InstanceId, started_ms: int, peers: Address, callers: Address, region: str,
+    domain: str,
+) -> EntryRow:
+    """Return the first row of an entry; a later start has higher sequences."""
+    return EntryRow(
+        instance, started_ms, peers.host, peers.port, callers.port, region, domain, False, False
+    )
--- /dev/null
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -0,0 +1,338 @@
+"""The two processes of the gateway: an entry before callers, an agent beside an engine."""
+
+from __future__ import annotations
+
+import signal
+import time
+from abc import ABC, abstractmethod
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any, Protocol
+
+import msgspec
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from coltsfootshift.controllers.chunks import Place
+from coltsfootshift.gateway.callers import CallerFactory
+from coltsfootshift.gateway.calls import Dialect
+from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
+from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_row
+from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, TableAnswer
+from coltsfootshift.gateway.roster import Roster
+from coltsfootshift.gateway.rollout import RolloutTask
+from coltsfootshift.gateway.service import Gateway, GatewayBounds
+from coltsfootshift.ids import FailureDomain, InstanceId, Purpose, Role, ServiceName, make_incarnation
+from coltsfootshift.keys import KeyRing
+from coltsfootshift.logs import get_logger, set_up_logs
+from coltsfootshift.messages import EngineNotice, Hello
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.settings import Address, StreamTiming
+from coltsfootshift.streams import StreamContext, StreamListener
+
+__all__ = ["GatewayAgent", "GatewayEntry", "GatewayNode", "NodePlace", "TableSource"]
+
+NO_SECRET = "the platform gives its processes no secret"  # a label, no protection (docs/PLATFORM.md)
+ACCEPT_AFTER_LEAVING_SECONDS = 4.0  # callers that kept an address come for about two answers' lives
+STOP_MARGIN_SECONDS = 0.7  # before the platform kills the process
+CHECK_SECONDS = 0.1
+MILLISECONDS = 1000
+
+logger = get_logger("gateway.node")
+
+
+class TableSource(Protocol):
+    """Reads the platform's tables until it is stopped."""
+
+    def start(self) -> None: ...
+
+    def stop(self) -> None: ...
+
+
+@dataclass(frozen=True, slots=True)
+class NodePlace:
+    """Who a process is and where; `peers` is where it listens for peers."""
+
+    instance: InstanceId
+    peers: Address
+    region: str
+    failure_domain: FailureDomain
+    seeds: tuple[Address, ...]
+    stop_within: float
+    metrics_port: int
+
+
+class GatewayNode(FleetObserver, ABC):
+    """What both processes share: streams to entries, the tables, logs, metrics, the way to stop."""
+
+    role: Role
+
+    def __init__(
+        self, reactor: Any, place: NodePlace, decoder: ItemDecoder, roster: Roster,
+        listens_for_entries: bool,
+    ) -> None:
+        self.reactor = reactor
+        self.place = place
+        self.metrics = Metrics()
+        self.known = Knowledge(decoder)
+        self.roster = roster
+        self.leaving_since: float | None = None
+        self.started_ms = int(time.time() * MILLISECONDS)
+        self._incarnation = make_incarnation()
+        self.rng = Random(self._incarnation)
+        self.context = StreamContext(
+            reactor,
+            StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0),
+            self.metrics,
+            self._make_hello,
+            KeyRing.make(NO_SECRET),
+            source=place.peers.host,
+        )
+        self.listener = StreamListener(self.context)
+        own = place.peers if listens_for_entries else None
+        self.fleet = FleetTask(
+            self.context, self.known, roster, list(place.seeds), own, self, self.rng
+        )
+
+    def run(self) -> None:
+        """Run until the process has left."""
+        set_up_logs("INFO", self.place.instance)
+        signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
+        signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.note_reload))
+        self.reactor.callWhenRunning(self.start)
+        self.reactor.run(installSignalHandlers=False)
+
+    def start(self) -> None:
+        """Open the ports and start the tasks."""
+        peers = self.place.peers
+        self.reactor.listenTCP(peers.port, self.listener, interface=peers.host)
+        page = Site(_MetricsPage(self.metrics))
+        self.reactor.listenTCP(self.place.metrics_port, page, interface=peers.host)
+        self.start_role()
+        self.fleet.start()
+        logger.info("started", extra={"role": self.role.value, "incarnation": self._incarnation})
+
+    def leave(self) -> None:
+        """Take no new work, finish what is in progress, then stop."""
+        if self.leaving_since is not None:
+            return
+        self.leaving_since = self.reactor.seconds()
+        logger.info("leaving", extra={"unfinished": self.count_unfinished()})
+        self.stop_new_work()
+        self._check_drained()
+
+    def note_reload(self) -> None:
+        """A reload was asked for; nothing in the settings may change while a process runs."""
+        logger.info("reload asked for", extra={"changed": False})
+
+    def roster_changed(self) -> None:
+        """Nothing follows for a process that only listens."""
+
+    def engine_told(self, notice: EngineNotice) -> None:
+        """Nothing follows for a process without callers."""
+
+    @abstractmethod
+    def start_role(self) -> None:
+        """Start what only this role has."""
+
+    @abstractmethod
+    def stop_new_work(self) -> None:
+        """Take no new work from now on."""
+
+    @abstractmethod
+    def count_unfinished(self) -> int:
+        """Return how many pieces of work are in progress."""
+
+    @abstractmethod
+    def may_stop(self, left_for: float) -> bool:
+        """Return whether the process may stop, `left_for` seconds after it began to leave."""
+
+    def _check_drained(self) -> None:
+        assert self.leaving_since is not None
+        left_for = self.reactor.seconds() - self.leaving_since
+        overrun = left_for >= self.place.stop_within - STOP_MARGIN_SECONDS
+        if not overrun and not self.may_stop(left_for):
+            self.reactor.callLater(CHECK_SECONDS, self._check_drained)
+            return
+        logger.info("stopped", extra={"unfinished": self.count_unfinished(), "overrun": overrun})
+        self.reactor.stop()
+
+    def _make_hello(self, purpose: Purpose) -> Hello:
+        return Hello(
+            instance=self.place.instance,
+            incarnation=self._incarnation,
+            role=self.role.value,
+            purpose=purpose.value,
+            service="",
+            region=self.place.region,
+            failure_domain=self.place.failure_domain,
+            sent_at=self.reactor.seconds(),
+        )
+
+
+class GatewayEntry(GatewayNode):
+    """Callers' door, directory and placement."""
+
+    role = Role.ENTRY
+
+    def __init__(
+        self,
+        reactor: Any,
+        place: NodePlace,
+        decoder: ItemDecoder,
+        dialect: Dialect,
+        callers: Address,
+        bounds: GatewayBounds,
+    ) -> None:
+        started_ms = int(time.time() * MILLISECONDS)
+        row = make_row(
+            place.instance, started_ms, place.peers, callers, place.region, place.failure_domain
+        )
+        super().__init__(reactor, place, decoder, Roster(row), listens_for_entries=True)
+        self.source: TableSource | None = None
+        self.sites: list[tuple[Address, Site]] = []
+        self.gateway = Gateway(
+            reactor, self.known, dialect, place.failure_domain, place.peers.host, bounds,
+            self.metrics, self.rng,
+        )
+        self._callers = callers
+        self._factory = CallerFactory(self.gateway, reactor)
+        self._port: Any = None
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.known.complete and self.leaving_since is None
+
+    def list_callers_addresses(self, domain: str, region: str) -> list[Address]:
+        """Return where callers of a place may connect."""
+        return self.roster.list_callers_addresses(domain, region, self.rng)
+
+    def take_answer(self, answer: TableAnswer) -> None:
+        """Take an answer of the store."""
+        if self.known.apply(answer, self.reactor.seconds()):
+            self.knowledge_changed()
+            self.fleet.announce()
+
+    def knowledge_changed(self) -> None:
+        """Bring the tables into force."""
+        self.gateway.refresh()
+        self._tell_ready()
+
+    def roster_changed(self) -> None:
+        """Share connections and the budget of retries with the entries that are live."""
+        self.gateway.set_entries(self.roster.count_live())
+
+    def engine_told(self, notice: EngineNotice) -> None:
+        """Take what an agent says of its engine before the store lists it."""
+        self.gateway.note_engine(
+            Address(notice.host, notice.port), notice.born, notice.model, notice.version,
+            notice.loading,
+        )
+
+    def start_role(self) -> None:
+        """Listen for peers, callers and questions; follow the store."""
+        self.listener.register(Purpose.ENTRIES, self.fleet)
+        for address, site in self.sites:
+            self.reactor.listenTCP(address.port, site, interface=address.host)
+        self._port = self.reactor.listenTCP(
+            self._callers.port, self._factory, backlog=512, interface=self._callers.host
+        )
+        self.gateway.start()
+        assert self.source is not None
+        self.source.start()
+
+    def stop_new_work(self) -> None:
+        """Tell all peers, and close what carries no request."""
+        self.gateway.leaving_since = self.leaving_since
+        self._tell_ready()
+        self.reactor.callLater(ACCEPT_AFTER_LEAVING_SECONDS, self._stop_listening)
+
+    def count_unfinished(self) -> int:
+        """Return how many calls have no final answer yet."""
+        return self.gateway.unfinished
+
+    def may_stop(self, left_for: float) -> bool:
+        """Stop once callers have had time to go elsewhere and all answers are out."""
+        return left_for > ACCEPT_AFTER_LEAVING_SECONDS + CHECK_SECONDS and not self.gateway.unfinished
+
+    def _stop_listening(self) -> None:
+        self._port.stopListening()
+        self._factory.close_idle()
+
+    def _tell_ready(self) -> None:
+        own = self.roster.own
+        assert own is not None
+        leaving = self.leaving_since is not None
+        if (own.ready, own.leaving) == (self.ready, leaving):
+            return
+        self.roster.own = msgspec.structs.replace(own, ready=self.ready, leaving=leaving)
+        logger.info("readiness changed", extra={"ready": self.ready, "leaving": leaving})
+        self.fleet.announce()
+
+
+class GatewayAgent(GatewayNode):
+    """Brings weights to the engine on its own machine."""
+
+    role = Role.AGENT
+
+    def __init__(
+        self,
+        reactor: Any,
+        place: NodePlace,
+        decoder: ItemDecoder,
+        engine: LocalEngine,
+        engine_address: Address,
+        make_origin: Callable[[Address], VersionOrigin],
+        service: ServiceName,
+        regions: dict[str, str],
+        link_mbps: float,
+    ) -> None:
+        super().__init__(reactor, place, decoder, Roster(None), listens_for_entries=False)
+        self._engine_address = engine_address
+        self.rollout = RolloutTask(
+            self.context, self.known, engine, make_origin, place.peers, service,
+            Place(place.region, place.failure_domain), regions, link_mbps, self.metrics, self.rng,
+            self._tell_entries,
+        )
+
+    def knowledge_changed(self) -> None:
+        """Bring the wanted version to the engine."""
+        self.rollout.refresh()
+
+    def start_role(self) -> None:
+        """Listen for other agents."""
+        self.listener.register(Purpose.WEIGHTS, self.rollout)
+        self.rollout.start(self.started_ms)
+
+    def stop_new_work(self) -> None:
+        """Chunks that are on their way are asked for elsewhere."""
+
+    def count_unfinished(self) -> int:
+        """Nothing of an agent must be finished before it stops."""
+        return 0
+
+    def may_stop(self, left_for: float) -> bool:
+        """An agent may stop at once."""
+        return True
+
+    def _tell_entries(self, model: str, version: int, loading: bool, born: int) -> None:
+        address = self._engine_address
+        notice = EngineNotice(
+            address.host, address.port, born, model, version, loading, self.reactor.seconds()
+        )
+        self.fleet.tell_engine(notice)
+
+
+class _MetricsPage(Resource):
+    isLeaf = True
+
+    def __init__(self, metrics: Metrics) -> None:
+        super().__init__()
+        self._metrics = metrics
+
+    def render_GET(self, request: Any) -> bytes:  # noqa: N802  hook of twisted.web
+        request.setHeader("Content-Type", "text/plain; version=0.0.4")
+        return self._metrics.render_text().encode()
--- /dev/null
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -0,0 +1,454 @@
+"""The rollout task of an agent: brings the wanted version to its engine and passes it on."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from coltsfootshift.controllers.base import Event
+from coltsfootshift.controllers.chunks import (
+    ORIGIN,
+    AskChunk,
+    ChunkAsked,
+    ChunkFailed,
+    ChunkSent,
+    ChunkStored,
+    FinishWeights,
+    LimitsKnown,
+    NeighbourClosed,
+    NeighbourHas,
+    NeighbourOpened,
+    Place,
+    PullChunk,
+    PullersKnown,
+    RefuseChunk,
+    SendBits,
+    SendChunk,
+    SendHave,
+    WeightsTick,
+    WeightsWanted,
+    unpack_bits,
+)
+from coltsfootshift.controllers.duties import choose_neighbours
+from coltsfootshift.controllers.waves import ServingState, Waves
+from coltsfootshift.controllers.weights import WeightsController
+from coltsfootshift.gateway.engines import EngineReport, LocalEngine, PortError, VersionOrigin
+from coltsfootshift.gateway.knowledge import Knowledge
+from coltsfootshift.gateway.model import EngineSpec
+from coltsfootshift.ids import Digest, InstanceId, Purpose, ServiceName
+from coltsfootshift.logs import get_logger
+from coltsfootshift.messages import (
+    Bitfield,
+    ChunkData,
+    ChunkRefused,
+    ChunkRequest,
+    Have,
+    Leaving,
+    Message,
+    ServingNotice,
+    ServingRow,
+)
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.settings import Address
+from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
+
+__all__ = ["EngineNews", "RolloutTask"]
+
+TICK_SECONDS = 0.1
+REPORT_SECONDS = 0.25  # an engine's own report is free on its machine
+REPEAT_ORDER_SECONDS = 1.0  # an order without an answer may have been accepted; reports tell
+LINK_SHARE = 0.95  # of the link; the rest is left to heartbeats and notices
+ORIGIN_COPIES = 2  # an origin's link carries about three copies while one passes an agent's link
+LEAST_SERVING_SHARE = 0.5  # of the replicas; they keep serving while the others load
+FIRST_VERSION = 1  # serves until an operator names another
+BITS_PER_MEGABIT = 1_000_000
+BITS_PER_BYTE = 8
+
+EngineNews = Callable[[str, int, bool, int], None]
+
+logger = get_logger("gateway.rollout")
+
+
+class RolloutTask(StreamOwner):
+    """Stages checked chunks of the wanted version, orders the load in waves, serves neighbours.
+
+    A chunk counts as held only once it matches its digest and the engine has staged it; right
+    before the order all staged chunks are read back and checked, since staged data may rot. The
+    engine's report, not the order, says what it serves: one that restarted without weights is
+    filled again.
+    """
+
+    def __init__(
+        self,
+        context: StreamContext,
+        known: Knowledge,
+        engine: LocalEngine,
+        make_origin: Callable[[Address], VersionOrigin],
+        own: Address,
+        service: ServiceName,
+        place: Place,
+        regions: dict[str, str],
+        link_mbps: float,
+        metrics: Metrics,
+        rng: Random,
+        tell: EngineNews,
+    ) -> None:
+        self.reactor = context.reactor
+        self._context = context
+        self._known = known
+        self._engine = engine
+        self._make_origin = make_origin
+        self._own = name_agent(own.host, own.port)
+        self._port = own.port
+        self._service = service
+        self._place = place
+        self._regions = regions
+        self._rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+        self._metrics = metrics
+        self._tell_entries = tell
+        self._controller = WeightsController(self._own, rng, place)
+        self._waves = Waves(self._own)
+        self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
+        self._streams: dict[InstanceId, PeerStream] = {}
+        self._wanted: tuple[str, int] = ("", 0)
+        self._digests: list[bytes] = []
+        self._chunks: dict[int, bytes] = {}
+        self._report: EngineReport | None = None
+        self._reported_at = float("-inf")
+        self._whole = False
+        self._working = False
+        self._ordered_at = float("-inf")
+        self._started_ms = 0
+        self._announced: tuple[int, bool, int] | None = None
+        self._announcements = 0
+        self._loop = LoopingCall(self._tick)
+        self._loop.clock = context.reactor
+
+    def start(self, started_ms: int) -> None:
+        """Start the ticks."""
+        self._started_ms = started_ms
+        self._loop.start(TICK_SECONDS, now=True)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what the status shows."""
+        return {
+            "wanted": self._wanted,
+            "share": round(self._controller.share, 3),
+            "neighbours": sorted(self._streams),
+            "serving": dict(self._report.versions) if self._report else {},
+        }
+
+    def refresh(self) -> None:
+        """Take the tables as they are known now."""
+        self._choose_neighbours()
+        self._choose_version()
+
+    def stream_opened(self, stream: PeerStream) -> None:
+        """Take a neighbour; the newest stream of a peer counts."""
+        held = self._streams.get(stream.peer_id)
+        if held is not None:
+            held.abort("replaced by a newer stream")
+            self._tell(NeighbourClosed(stream.peer_id))
+        self._streams[stream.peer_id] = stream
+        assert stream.peer is not None
+        place = Place(stream.peer.region, stream.peer.failure_domain)
+        self._tell(NeighbourOpened(stream.peer_id, place))
+        self._send_states([stream.peer_id], self._waves.states)
+
+    def stream_closed(self, stream: PeerStream, reason: str) -> None:
+        """Drop a neighbour."""
+        if self._streams.get(stream.peer_id) is stream:
+            del self._streams[stream.peer_id]
+            self._tell(NeighbourClosed(stream.peer_id))
+
+    def stream_received(self, stream: PeerStream, message: Message) -> None:
+        """Take a message of a neighbour."""
+        peer = stream.peer_id
+        if isinstance(message, Bitfield):
+            held, exists = unpack_bits(message.bits), unpack_bits(message.exists)
+            self._tell(NeighbourHas(peer, Digest(message.digest), held, exists, replaces=True))
+        elif isinstance(message, Have):
+            digest = Digest(message.digest)
+            self._tell(NeighbourHas(peer, digest, tuple(message.indexes), tuple(message.exists)))
+        elif isinstance(message, ChunkRequest):
+            self._tell(ChunkAsked(peer, Digest(message.digest), message.index))
+        elif isinstance(message, ChunkRefused):
+            self._tell(ChunkFailed(Digest(message.digest), message.index, peer))
+        elif isinstance(message, ChunkData):
+            self._take_chunk(message.digest, message.index, message.data, peer)
+        elif isinstance(message, ServingNotice):
+            self._take_states(message)
+        elif not isinstance(message, Leaving):
+            stream.abort(f"sent {type(message).__name__} on a weights stream")
+
+    def _find_spec(self) -> EngineSpec | None:
+        catalogue = self._known.catalogue
+        service = catalogue.services.get(self._service) if catalogue else None
+        return service.engine if service else None
+
+    def _find_origin(self) -> VersionOrigin | None:
+        catalogue = self._known.catalogue
+        for service in catalogue.services.values() if catalogue else ():
+            if service.origin is not None:
+                return self._make_origin(service.origin)
+        return None
+
+    def _choose_neighbours(self) -> None:
+        places = {self._own: self._place}
+        addresses = {}
+        for record in self._known.endpoints.values():
+            if record.service != self._service:
+                continue
+            name = name_agent(record.address.host, self._port)
+            domain = record.failure_domain
+            places[name] = Place(self._regions.get(domain, ""), domain)
+            addresses[name] = Address(record.address.host, self._port)
+        peers = choose_neighbours(self._own, places, self._service)
+        self._dialer.set_targets(
+            {InstanceId(name): addresses[InstanceId(name)] for name in peers}
+        )
+        self._tell(PullersKnown(places))
+        least = int(LEAST_SERVING_SHARE * len(places))
+        self._waves.set_instances(tuple(places), least, self.reactor.seconds())
+
+    def _choose_version(self) -> None:
+        spec = self._find_spec()
+        if spec is None or not spec.models:
+            return
+        model = spec.models[0]
+        named = self._known.wanted.get(model)
+        wanted = (model, named.version if named else FIRST_VERSION)
+        if wanted == self._wanted:
+            return
+        self._wanted = wanted
+        self._digests = []
+        self._chunks = {}
+        self._whole = False
+        self._ordered_at = float("-inf")
+        self._waves.set_wanted(Digest(str(wanted[1])), self.reactor.seconds())
+        logger.info("version wanted", extra={"model": model, "version": wanted[1]})
+
+    def _tick(self) -> None:
+        now = self.reactor.seconds()
+        self._tell(WeightsTick())
+        if now - self._reported_at >= REPORT_SECONDS and not self._working:
+            self._reported_at = now
+            self._work(self._advance())
+
+    def _work(self, coroutine: Any) -> None:
+        self._working = True
+        deferred = Deferred.fromCoroutine(coroutine)
+        deferred.addErrback(self._note_failure)
+        deferred.addBoth(self._end_work)
+
+    def _end_work(self, _: Any) -> None:
+        self._working = False
+
+    def _note_failure(self, failure: Any) -> None:
+        self._metrics.count("port_failures")
+        logger.info("step of the rollout failed", extra={"cause": failure.getErrorMessage()})
+        if not failure.check(PortError):
+            logger.error("unexpected failure", extra={"trace": failure.getTraceback()})
+
+    async def _advance(self) -> None:
+        """Do the next step that the engine's report asks for."""
+        report = await self._engine.read_report()
+        self._take_report(report)
+        model, version = self._wanted
+        if not version:
+            return
+        if not self._digests:
+            await self._begin_version(model, version)
+        serving = report.versions.get(model)
+        if serving == version or report.busy or not self._whole:
+            return
+        now = self.reactor.seconds()
+        if now - self._ordered_at < REPEAT_ORDER_SECONDS or not self._waves.may_load(now):
+            return
+        if not await self._check_staged(model, version) or self._wanted != (model, version):
+            return
+        self._ordered_at = self.reactor.seconds()
+        result = await self._engine.load(model, version, version, report.orders, abort=False)
+        self._metrics.count("load_orders")
+        logger.info(
+            "load ordered",
+            extra={"model": model, "version": version, "accepted": result.accepted,
+                   "status": result.status},
+        )
+        self._announce(serving or 0, True, report.born)
+
+    def _take_report(self, report: EngineReport) -> None:
+        if self._report is not None and report.born != self._report.born:
+            logger.info("engine restarted", extra={"born": report.born})
+            self._whole = False
+            self._digests = []
+        self._report = report
+        serving = report.versions.get(self._wanted[0], 0)
+        self._announce(serving, report.busy, report.born)
+
+    def _announce(self, version: int, loading: bool, born: int) -> None:
+        if self._announced == (version, loading, born):
+            return
+        self._announced = (version, loading, born)
+        self._announcements += 1
+        sequence = (self._started_ms << 20) + self._announcements
+        digest = "" if loading else str(version or "")
+        state = ServingState(self._own, sequence, digest)
+        if self._waves.note(state, self.reactor.seconds()):
+            self._send_states(list(self._streams), [state])
+        self._tell_entries(self._wanted[0], version, loading, born)
+
+    async def _begin_version(self, model: str, version: int) -> None:
+        """Learn the digests, and which chunks the engine has staged already."""
+        origin = self._find_origin()
+        if origin is None:
+            return
+        digests = await origin.read_digests(model, version)
+        if self._wanted != (model, version):
+            return
+        held = set()
+        for index in sorted(await self._engine.list_staged(model)):
+            if index >= len(digests):
+                continue
+            data = await self._engine.read_staged(model, index)
+            if hashlib.sha256(data).digest() == digests[index]:
+                self._chunks[index] = data
+                held.add(index)
+        if self._wanted != (model, version):
+            return
+        spec = self._find_spec()
+        assert spec is not None
+        self._digests = digests
+        self._tell(LimitsKnown(ORIGIN_COPIES, self._rate))
+        label = label_version(model, version)
+        self._tell(WeightsWanted(Digest(""), 0))
+        self._tell(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
+        logger.info(
+            "version begun", extra={"model": model, "version": version, "held": len(held)}
+        )
+
+    async def _check_staged(self, model: str, version: int) -> bool:
+        """Read back what is staged; stage again what is missing or has changed."""
+        digests = self._digests
+        for index, digest in enumerate(digests):
+            data = b""
+            try:
+                data = await self._engine.read_staged(model, index)
+            except PortError as error:
+                logger.info("staged chunk not read", extra={"index": index, "cause": str(error)})
+            if hashlib.sha256(data).digest() == digest:
+                continue
+            if self._wanted != (model, version):
+                return False
+            self._metrics.count("chunks_staged_again")
+            logger.warning("staged chunk was spoilt", extra={"index": index})
+            await self._engine.stage(model, index, self._chunks[index])
+        return True
+
+    def _tell(self, event: Event) -> None:
+        for action in self._controller.handle(event, self.reactor.seconds()):
+            self._perform(action)
+
+    def _perform(self, action: Any) -> None:
+        if isinstance(action, PullChunk):
+            self._pull(action)
+        elif isinstance(action, AskChunk):
+            self._send(action.peer, ChunkRequest(action.digest, action.index))
+        elif isinstance(action, SendChunk):
+            self.reactor.callLater(max(0.0, action.delay), self._upload, action)
+        elif isinstance(action, RefuseChunk):
+            self._send(action.peer, ChunkRefused(action.digest, action.index))
+        elif isinstance(action, SendBits):
+            self._send(action.peer, Bitfield(action.digest, action.bits, action.exists))
+        elif isinstance(action, SendHave):
+            indexes, exists = list(action.indexes), list(action.exists)
+            self._send(action.peer, Have(action.digest, indexes, exists))
+        elif isinstance(action, FinishWeights):
+            self._whole = True
+            logger.info("version staged", extra={"version": self._wanted[1]})
+
+    def _pull(self, action: PullChunk) -> None:
+        origin = self._find_origin()
+        if origin is None:
+            self._tell(ChunkFailed(action.digest, action.index, ORIGIN))
+            return
+        self._metrics.count("origin_pulls")
+        model, version = self._wanted
+        deferred = origin.read_chunk(model, version, action.index)
+        deferred.addCallbacks(
+            lambda data: self._take_chunk(action.digest, action.index, data, ORIGIN),
+            lambda failure: self._fail_chunk(action.digest, action.index, ORIGIN, failure),
+        )
+
+    def _fail_chunk(self, digest: str, index: int, source: InstanceId, failure: Any) -> None:
+        self._metrics.count("chunks_failed")
+        logger.info("chunk failed", extra={"index": index, "cause": failure.getErrorMessage()})
+        self._tell(ChunkFailed(Digest(digest), index, source))
+
+    def _take_chunk(self, digest: str, index: int, data: bytes, source: InstanceId) -> None:
+        """Check a chunk, stage it, and only then count it as held."""
+        model, version = self._wanted
+        if digest != label_version(model, version) or index >= len(self._digests):
+            return
+        if hashlib.sha256(data).digest() != self._digests[index]:
+            self._metrics.count("chunks_corrupted")
+            logger.info("chunk corrupted", extra={"index": index, "source": source})
+            self._tell(ChunkFailed(Digest(digest), index, source))
+            return
+        self._metrics.count("chunks_from_peers" if source else "chunks_from_origin")
+        deferred = self._engine.stage(model, index, data)
+        deferred.addCallbacks(
+            lambda _: self._keep_chunk(digest, index, data, source),
+            lambda failure: self._fail_chunk(digest, index, source, failure),
+        )
+
+    def _keep_chunk(self, digest: str, index: int, data: bytes, source: InstanceId) -> None:
+        if digest == label_version(*self._wanted):
+            self._chunks[index] = data
+            self._tell(ChunkStored(Digest(digest), index, source))
+
+    def _upload(self, action: SendChunk) -> None:
+        data = self._chunks.get(action.index)
+        if data is None or action.digest != label_version(*self._wanted):
+            self._send(action.peer, ChunkRefused(action.digest, action.index))
+        else:
+            self._metrics.count("chunks_sent")
+            self._send(action.peer, ChunkData(action.digest, action.index, data))
+        self._tell(ChunkSent(action.peer))
+
+    def _take_states(self, message: ServingNotice) -> None:
+        news = []
+        for row in message.rows:
+            state = ServingState(InstanceId(row.instance), row.sequence, row.digest)
+            if state.instance != self._own and self._waves.note(state, self.reactor.seconds()):
+                news.append(state)
+        self._send_states(list(self._streams), news)
+
+    def _send_states(self, peers: list[InstanceId], states: list[ServingState]) -> None:
+        rows = [ServingRow(state.instance, state.sequence, state.digest) for state in states]
+        for peer in peers if rows else ():
+            self._send(peer, ServingNotice(rows))
+
+    def _send(self, peer: InstanceId, message: Message) -> None:
+        stream = self._streams.get(peer)
+        if stream is not None:
+            stream.send(message)
+
+
+def name_agent(host: str, port: int) -> InstanceId:
+    """Return the name by which agents know each other: where they listen.
+
+    >>> name_agent("10.1.0.42", 7700)
+    '10.1.0.42-7700'
+    """
+    return InstanceId(f"{host}-{port}")
+
+
+def label_version(model: str, version: int) -> Digest:
+    """Return the label of a version in the exchange of chunks."""
+    return Digest(f"{model}@{version}")
--- /dev/null
+++ b/src/coltsfootshift/gateway/service.py
@@ -0,0 +1,396 @@
+"""The gateway of one entry: admits calls, lets them wait, places them, answers refusals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+from typing import Any
+
+from twisted.internet.task import LoopingCall
+
+from coltsfootshift.gateway.budget import RetryBudget
+from coltsfootshift.gateway.callers import CallHandler, IncomingCall
+from coltsfootshift.gateway.calls import CallError, CallHead, Dialect, OrderTerms
+from coltsfootshift.gateway.checks import (
+    Admission,
+    Check,
+    Denied,
+    KeyCheck,
+    LimitCheck,
+    RouteCheck,
+)
+from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
+from coltsfootshift.gateway.knowledge import Knowledge
+from coltsfootshift.gateway.links import LinkPool
+from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
+from coltsfootshift.gateway.placement import EndpointState, Placement, measure_interval
+from coltsfootshift.gateway.waiting import Waiting, WaitingQueue
+from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
+from coltsfootshift.logs import get_logger
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.outcomes import NotRun, Unknown
+from coltsfootshift.settings import Address
+
+__all__ = ["Gateway", "GatewayBounds"]
+
+TICK_SECONDS = 0.02  # bounds how late a free place or a passed due time is seen
+VERSION_MARGIN_SECONDS = 1.0  # a request begins this long after it was sent on, at the latest
+LATE_FACTOR = 0.9  # below this share of the route's longest deadline a caller has come back
+CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is left to entries not yet known
+REFUSE_AFTER_LEAVING_SECONDS = 2.0  # later requests could last beyond the time to stop
+
+logger = get_logger("gateway")
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayBounds:
+    """Bounds of the deployment, in seconds but for the budget's share and allowance."""
+
+    revoke_within: float
+    version_within: float
+    budget_ratio: float
+    budget_allowance: float
+    budget_window: float
+
+
+class Gateway(CallHandler, ExchangeOwner):
+    """Answers callers with the answers of endpoints."""
+
+    def __init__(
+        self,
+        reactor: Any,
+        known: Knowledge,
+        dialect: Dialect,
+        domain: FailureDomain,
+        source: str,
+        bounds: GatewayBounds,
+        metrics: Metrics,
+        rng: Random,
+    ) -> None:
+        self.reactor = reactor
+        self.known = known
+        self.metrics = metrics
+        self.leaving_since: float | None = None
+        self.on_news: Callable[[], None] | None = None
+        self._dialect = dialect
+        self._source = source
+        self._bounds = bounds
+        self._rng = rng
+        self._checks: list[Check] = [
+            RouteCheck(rng), KeyCheck(bounds.revoke_within), LimitCheck()
+        ]
+        self._placement = Placement(domain, rng)
+        self._budget = RetryBudget(
+            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window
+        )
+        self._states: dict[InstanceId, EndpointState] = {}
+        self._pools: dict[InstanceId, LinkPool] = {}
+        self._by_service: dict[ServiceName, list[EndpointState]] = {}
+        self._queues: dict[ServiceName, WaitingQueue] = {}
+        self._exchanges: set[Exchange] = set()
+        self._longest: dict[str, float] = {}
+        self._entries = 1
+        self._loop = LoopingCall(self._tick)
+        self._loop.clock = reactor
+        metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
+        metrics.add_gauge("exchanges_waiting", self._count_waiting)
+        metrics.add_gauge("links_dialled", lambda: float(sum(p.dialled for p in self._pools.values())))
+
+    def start(self) -> None:
+        """Start the ticks."""
+        self._loop.start(TICK_SECONDS, now=False)
+
+    @property
+    def limits(self) -> CallerLimits:
+        """The callers' limits of the catalogue in force."""
+        return self.known.catalogue.limits if self.known.catalogue else CallerLimits()
+
+    @property
+    def closing(self) -> bool:
+        """Whether this entry is leaving, so that kept connections end."""
+        return self.leaving_since is not None
+
+    @property
+    def unfinished(self) -> int:
+        """How many calls have no final answer yet."""
+        return len(self._exchanges)
+
+    def set_entries(self, count: int) -> None:
+        """Take how many entries share the endpoints' connections and the budget of retries."""
+        self._entries = max(1, count)
+        self._budget.set_entries(self._entries)
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Take the endpoints as they are known now."""
+        by_service: dict[ServiceName, list[EndpointState]] = {}
+        catalogue = self.known.catalogue
+        for name, record in self.known.endpoints.items():
+            spec = catalogue.services.get(record.service) if catalogue else None
+            if spec is None:
+                continue
+            state = self._keep_state(name, record, spec)
+            if not record.leaving:
+                by_service.setdefault(record.service, []).append(state)
+        for name in [name for name in self._states if name not in self.known.endpoints]:
+            del self._states[name]
+            self._pools.pop(name).close()
+        self._by_service = by_service
+        self._pump_all()
+
+    def take_call(self, call: IncomingCall) -> None:
+        """Admit a call and place it, let it wait, or refuse it."""
+        now = self.reactor.seconds()
+        self.metrics.count("calls")
+        try:
+            head = self._dialect.read_call(call.method, call.target, call.headers)
+        except CallError as error:
+            logger.info("call not understood", extra={"cause": str(error), "status": error.status})
+            call.answer(error.status, [], b"")
+            return
+        admission = Admission(head, call.arrived_at)
+        if self.leaving_since is not None:
+            if now - self.leaving_since > REFUSE_AFTER_LEAVING_SECONDS:
+                self._answer_refusal(call, head, NotRun("this entry is leaving", retry_after=0.0))
+                return
+        for check in self._checks:
+            decided = check.refuse(admission, self.known, now)
+            if isinstance(decided, Denied):
+                self._deny(call, head, decided)
+                return
+            if decided is not None:
+                self._answer_refusal(call, head, decided)
+                return
+        exchange = Exchange(self, call, admission)
+        self._exchanges.add(exchange)
+        self._budget.note_request(exchange.service.name, now)
+        if not self._place(exchange, now):
+            self._wait(exchange, now)
+
+    def place_again(self, exchange: Exchange) -> bool:
+        """Find another endpoint now, or let the exchange wait in front of new requests."""
+        now = self.reactor.seconds()
+        if not self._budget.take(exchange.service.name, now):
+            self.metrics.count("retries_over_budget")
+            return False
+        if not self._list_candidates(exchange, now):
+            return False
+        self.metrics.count("retries")
+        if not self._place(exchange, now):
+            self._wait(exchange, now)
+        return not exchange.ended
+
+    def note_ended(self, exchange: Exchange, outcome: str) -> None:
+        """Forget an exchange, and place the next one that waits."""
+        now = self.reactor.seconds()
+        self._exchanges.discard(exchange)
+        if exchange.waiting is not None:
+            exchange.waiting.open = False
+        self.metrics.observe("exchange_seconds", now - exchange.admission.arrived_at)
+        logger.info(
+            "request ended",
+            extra={"request": exchange.request, "route": exchange.route.name, "outcome": outcome,
+                   "runs": exchange.runs, "sends": exchange.sends,
+                   "seconds": round(now - exchange.admission.arrived_at, 3)},
+        )
+        self.reactor.callLater(0, self._pump, exchange.service.name)
+
+    def write_refusal(self, exchange: Exchange, outcome: NotRun | Unknown) -> None:
+        """Answer the caller of an exchange that failed."""
+        self._answer_refusal(exchange.call, exchange.admission.head, outcome)
+
+    def note_engine(
+        self, address: Address, born: int, model: str, version: int, loading: bool
+    ) -> None:
+        """Take what an agent says of its engine: which version it serves, whether it loads."""
+        for state in self._states.values():
+            record = state.record
+            if record.address != address or record.born != born:
+                continue
+            versions = {name: held for name, held in record.versions.items() if name != model}
+            if version and not loading:
+                versions[model] = version
+            self.known.endpoints[record.endpoint] = replace(record, versions=versions)
+            row = {"endpoint": record.endpoint, "version": version, "loading": loading}
+            logger.info("engine told", extra=row)
+        self.refresh()
+
+    def close_pools(self) -> None:
+        """Close idle connections to endpoints."""
+        for pool in self._pools.values():
+            pool.close()
+
+    def _keep_state(
+        self, name: InstanceId, record: EndpointRecord, spec: ServiceSpec
+    ) -> EndpointState:
+        state = self._states.get(name)
+        if state is not None and (
+            state.record.born != record.born or state.record.address != record.address
+        ):
+            self._pools.pop(name).close()
+            state = None
+        if state is None:
+            state = EndpointState(record, spec.engine)
+            self._states[name] = state
+            self._pools[name] = LinkPool(
+                self.reactor, record.address, self._dialect, self._source
+            )
+        state.record = record
+        state.spec = spec.engine
+        share = int(CONNECTION_SHARE * spec.max_connections / self._entries)
+        self._pools[name].most_open = max(1, share)
+        return state
+
+    def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        states = self._by_service.get(exchange.service.name, [])
+        if exchange.service.engine is None:
+            return states
+        least = self._find_least_version(exchange, now)
+        model = exchange.admission.head.model
+        found = []
+        for state in states:
+            version = state.record.versions.get(model)
+            if version is None or version < least:
+                continue
+            if exchange.version is not None and version != exchange.version:
+                continue
+            found.append(state)
+        return found
+
+    def _find_least_version(self, exchange: Exchange, now: float) -> int:
+        """Return the oldest version that may still answer a new request."""
+        wanted = self.known.wanted.get(exchange.admission.head.model)
+        if wanted is None:
+            return 0
+        over = wanted.learnt_at + self._bounds.version_within - VERSION_MARGIN_SECONDS
+        return wanted.version if now >= over else 0
+
+    def _place(self, exchange: Exchange, now: float) -> bool:
+        states = self._list_candidates(exchange, now)
+        tried = exchange.tried
+        if exchange.sends and len(tried) >= len(states):
+            tried = set()
+        open_states = [s for s in states if not self._pools[s.record.endpoint].full]
+        state = self._placement.choose(open_states, exchange.size, tried, now)
+        if state is None:
+            return False
+        self._send(exchange, state, now)
+        return True
+
+    def _send(self, exchange: Exchange, state: EndpointState, now: float) -> None:
+        admission, record = exchange.admission, state.record
+        least = self._find_least_version(exchange, now)
+        terms = OrderTerms(
+            endpoint=record.endpoint,
+            team=admission.team.name,
+            time_left=max(0.001, admission.ends_at - now),
+            priority=None,
+            version=exchange.version or least or None,
+            resume_after=exchange.resume_after,
+        )
+        head, body = admission.head, exchange.call.body
+        headers = self._dialect.write_order(head, terms, len(body))
+        logger.info(
+            "request placed",
+            extra={"request": exchange.request, "endpoint": record.endpoint,
+                   "waited": round(now - admission.arrived_at, 3), "own": state.own_count,
+                   "load": round(state.count_load(now), 1),
+                   "predicted": round(state.predict_start(exchange.size, now), 3)},
+        )
+        sink = exchange.start_attempt(state)
+        fresh = exchange.route.kind is RouteKind.NON_IDEMPOTENT
+        order = self._pools[record.endpoint].send(
+            head.method, head.target, headers, body, exchange.request, sink, fresh
+        )
+        exchange.set_order(order)
+
+    def _wait(self, exchange: Exchange, now: float) -> None:
+        admission, route = exchange.admission, exchange.route
+        queue = self._queues.setdefault(exchange.service.name, WaitingQueue(self._rng))
+        states = self._list_candidates(exchange, now)
+        if not states:
+            exchange.refuse(NotRun("no endpoint serves the request", retry_after=0.5))
+            return
+        start = min(state.predict_start(exchange.size, now) for state in states)
+        due = admission.arrived_at + route.aim - min(start, route.aim / 2)
+        late = self._came_back(exchange) or exchange.sends > 0
+        waiting = Waiting(
+            exchange, admission.priority, admission.arrived_at, due, admission.ends_at, late
+        )
+        refusal = queue.offer(waiting, self._measure_interval(states), now)
+        if refusal is not None:
+            exchange.refuse(refusal)
+            return
+        exchange.waiting = waiting
+
+    def _came_back(self, exchange: Exchange) -> bool:
+        """Return whether the caller has little of its route's usual deadline left."""
+        deadline = exchange.admission.head.deadline
+        if deadline is None:
+            return False
+        name = exchange.route.name
+        longest = max(self._longest.get(name, 0.0), deadline)
+        self._longest[name] = longest
+        return deadline < LATE_FACTOR * longest
+
+    def _measure_interval(self, states: list[EndpointState]) -> float:
+        """Return the expected seconds between two places that come free for this entry."""
+        rate = 0.0
+        for state in states:
+            if state.spec is not None:
+                rate += 1.0 / measure_interval(state.spec)
+            else:
+                rate += state.slots / max(0.001, state.work_seconds)
+        return self._entries / rate
+
+    def _tick(self) -> None:
+        now = self.reactor.seconds()
+        for queue in self._queues.values():
+            for waiting, refusal in list(queue.expire(now)):
+                waiting.item.refuse(refusal)
+        for exchange in list(self._exchanges):
+            exchange.check_silence(now)
+        for pool in self._pools.values():
+            pool.sweep()
+        if self.known.drop_lapsed(now):
+            self.refresh()
+        self._pump_all()
+
+    def _pump_all(self) -> None:
+        for name in self._queues:
+            self._pump(name)
+
+    def _pump(self, name: ServiceName) -> None:
+        """Send waiting requests while there are places."""
+        queue = self._queues.get(name)
+        now = self.reactor.seconds()
+        while queue is not None:
+            waiting = queue.peek()
+            if waiting is None or not self._place(waiting.item, now):
+                return
+            waiting.open = False
+            waiting.item.waiting = None
+
+    def _count_waiting(self) -> float:
+        return float(sum(len(queue) for queue in self._queues.values()))
+
+    def _deny(self, call: IncomingCall, head: CallHead, denied: Denied) -> None:
+        self.metrics.count(f"denied_{denied.status}")
+        version = self.known.catalogue.version if self.known.catalogue else None
+        logger.info(
+            "request denied",
+            extra={"request": head.request, "cause": denied.reason, "status": denied.status,
+                   "catalogue": version},
+        )
+        call.answer(denied.status, [], b"")
+
+    def _answer_refusal(
+        self, call: IncomingCall, head: CallHead, outcome: NotRun | Unknown
+    ) -> None:
+        self.metrics.count(f"refused_{outcome.status}")
+        logger.info(
+            "request refused",
+            extra={"request": head.request, "cause": outcome.reason, "status": outcome.status},
+        )
+        call.answer(outcome.status, self._dialect.write_refusal(head.request, outcome), b"")
--- /dev/null
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -0,0 +1,101 @@
+"""How requests wait for a place at an endpoint, and which are refused at once."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterator
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from coltsfootshift.outcomes import NotRun
+
+__all__ = ["Waiting", "WaitingQueue"]
+
+LATE_WAIT_SECONDS = 1.0  # how long a request that is late already may wait for a spare place
+LEAST_RETRY_AFTER_SECONDS = 0.25  # a return within one departure interval would be refused again
+RETRY_SPREAD = 0.5  # share of the return time that is drawn, so that callers return apart
+MOST_RETRY_SHARE = 1 / 3  # callers honour return times up to this share of their time left
+
+
+@dataclass(slots=True)
+class Waiting:
+    """A request that waits; `due` is when it has to be sent to be in time, `late` if it is not."""
+
+    item: Any
+    priority: int
+    arrived_at: float
+    due: float
+    ends_at: float
+    late: bool
+    open: bool = True
+
+
+class WaitingQueue:
+    """The requests of one service that found no place, most urgent and earliest due first.
+
+    Answers sustained overload: what cannot be sent before it is due is refused on arrival, so
+    that the queue is never longer than what can still be answered in time, and the endpoints work
+    only on answers that count in full. Requests that are late already wait behind all others.
+    """
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._heap: list[tuple[bool, int, float, int, Waiting]] = []
+        self._entered = 0
+
+    def __len__(self) -> int:
+        return sum(1 for row in self._heap if row[-1].open)
+
+    def offer(self, waiting: Waiting, interval: float, now: float) -> NotRun | None:
+        """Queue a request, or return why it is refused.
+
+        `interval` is the expected time between two places that come free for this entry.
+        """
+        ahead = self._count_ahead(waiting)
+        expected = now + (ahead + 1) * interval
+        latest = waiting.due
+        if waiting.late:
+            latest = min(waiting.ends_at, waiting.arrived_at + LATE_WAIT_SECONDS)
+        if expected > latest:
+            return self._refuse("no place in time", waiting, len(self._heap) * interval, now)
+        self._entered += 1
+        row = (waiting.late, waiting.priority, waiting.due, self._entered, waiting)
+        heapq.heappush(self._heap, row)
+        return None
+
+    def expire(self, now: float) -> Iterator[tuple[Waiting, NotRun]]:
+        """Yield the requests whose time to be sent has passed, and take them out."""
+        kept = []
+        for row in self._heap:
+            waiting = row[-1]
+            latest = waiting.arrived_at + LATE_WAIT_SECONDS if waiting.late else waiting.due
+            if not waiting.open:
+                continue
+            if now <= latest:
+                kept.append(row)
+                continue
+            waiting.open = False
+            yield waiting, self._refuse("no place came free in time", waiting, 0.0, now)
+        heapq.heapify(kept)
+        self._heap = kept
+
+    def peek(self) -> Waiting | None:
+        """Return the next request, without taking it out."""
+        while self._heap and not self._heap[0][-1].open:
+            heapq.heappop(self._heap)
+        return self._heap[0][-1] if self._heap else None
+
+    def pop(self) -> None:
+        """Take the next request out."""
+        heapq.heappop(self._heap)[-1].open = False
+
+    def _count_ahead(self, waiting: Waiting) -> int:
+        own = (waiting.late, waiting.priority, waiting.due)
+        return sum(1 for row in self._heap if row[-1].open and row[:3] <= own)
+
+    def _refuse(self, reason: str, waiting: Waiting, backlog: float, now: float) -> NotRun:
+        base = max(LEAST_RETRY_AFTER_SECONDS, backlog)
+        drawn = base * (1.0 + RETRY_SPREAD * self._rng.random())
+        most = MOST_RETRY_SHARE * max(0.0, waiting.ends_at - now)
+        return NotRun(reason, retry_after=round(min(drawn, most), 3))
--- a/src/coltsfootshift/mesh.py
+++ b/src/coltsfootshift/mesh.py
@@ -58,7 +58,7 @@
     TableStates,
 )
 from coltsfootshift.peerkeeper import PeerKeeper
-from coltsfootshift.platform.base import CATALOGUE_TABLE, INSTANCES_TABLE, Platform
+from coltsfootshift.catalogueservice.base import CATALOGUE_TABLE, INSTANCES_TABLE, Platform
 from coltsfootshift.settings import ProcessSettings
 from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
 from coltsfootshift.tasks import Task
--- a/src/coltsfootshift/node.py
+++ b/src/coltsfootshift/node.py
@@ -23,7 +23,7 @@
 from coltsfootshift.messages import Hello
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.operators import OperatorsPage
-from coltsfootshift.platform.http import HttpPlatform
+from coltsfootshift.catalogueservice.http import HttpPlatform
 from coltsfootshift.settings import EXIT_BAD_SETTINGS, ProcessSettings, load_settings
 from coltsfootshift.streams import StreamContext, StreamListener
 
