Keep one port to the origin of weights

Cause: each read made a port with a connection pool of its own, so the agents opened more connections than the origin accepts (717 reset over the cap) and no chunk of version 2 arrived. Late first pieces from 18 to 26 s remain: chunks share the engines' links.

--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -115,6 +115,7 @@
         self._waves = Waves(self._own)
         self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
         self._streams: dict[InstanceId, PeerStream] = {}
+        self._origin: tuple[Address, VersionOrigin] | None = None
         self._wanted: tuple[str, int] = ("", 0)
         self._digests: list[bytes] = []
         self._chunks: dict[int, bytes] = {}
@@ -194,8 +195,11 @@
     def _find_origin(self) -> VersionOrigin | None:
         catalogue = self._known.catalogue
         for service in catalogue.services.values() if catalogue else ():
-            if service.origin is not None:
-                return self._make_origin(service.origin)
+            if service.origin is None:
+                continue
+            if self._origin is None or self._origin[0] != service.origin:
+                self._origin = (service.origin, self._make_origin(service.origin))
+            return self._origin[1]
         return None
 
     def _choose_neighbours(self) -> None:
