--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -19,7 +19,9 @@
 __all__ = ["Exchange", "ExchangeOwner"]
 
 MAX_HELD_BYTES = 1024 * 1024  # a longer plain answer is passed on as it comes
-SILENCE_SECONDS = 1.5  # beyond three times the longest pause aimed at; a lost endpoint stalls as long
+SILENCE_SECONDS = (
+    1.5  # beyond three times the longest pause aimed at; a lost endpoint stalls as long
+)
 MISDIRECTED = 421
 PROMISES = frozenset({408, 421, 429, 503})  # callers take these as a promise that nothing has run
 
@@ -260,8 +262,13 @@
         again = allowed and self._owner.place_again(self)
         logger.info(
             "order failed",
-            extra={"request": self.request, "endpoint": attempt.state.record.endpoint,
-                   "cause": reason, "runs": self.runs, "again": again},
+            extra={
+                "request": self.request,
+                "endpoint": attempt.state.record.endpoint,
+                "cause": reason,
+                "runs": self.runs,
+                "again": again,
+            },
         )
         if again:
             return
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -218,8 +218,12 @@
         if self._known.apply(answer, now):
             logger.info(
                 "table learnt from a peer",
-                extra={"table": table.value, "peer": stream.peer_id,
-                       "revision": message.revision, "age": round(message.age, 3)},
+                extra={
+                    "table": table.value,
+                    "peer": stream.peer_id,
+                    "revision": message.revision,
+                    "age": round(message.age, 3),
+                },
             )
             self._observer.knowledge_changed()
             if self._roster.own is not None:
@@ -241,7 +245,11 @@
 
 
 def make_row(
-    instance: InstanceId, started_ms: int, peers: Address, callers: Address, region: str,
+    instance: InstanceId,
+    started_ms: int,
+    peers: Address,
+    callers: Address,
+    region: str,
     domain: str,
 ) -> EntryRow:
     """Return the first row of an entry; a later start has higher sequences."""
--- a/src/coltsfootshift/gateway/knowledge.py
+++ b/src/coltsfootshift/gateway/knowledge.py
@@ -13,6 +13,7 @@
 __all__ = ["Item", "ItemDecoder", "Knowledge", "Table", "TableAnswer", "WantedVersion"]
 
 LAPSE_HOLD_SECONDS = 2.0  # entries that lapsed with the store away are back within this time
+MOST_NAMED = 16  # versions of a model whose time to be served may still run
 OUTAGE_SECONDS = 1.0  # a shorter silence of the store lets no entry lapse
 
 logger = get_logger("gateway.knowledge")
@@ -51,11 +52,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WantedVersion:
-    """The version of a model's weights that engines are to serve, and when this was learnt."""
+    """A version of a model's weights that engines are to serve, and when this was learnt.
+
+    `at_start` is set where a process found it on its first read: how long ago it was named is
+    not known then.
+    """
 
     model: str
     version: int
     learnt_at: float
+    at_start: bool = False
 
 
 class ItemDecoder(ABC):
@@ -93,11 +99,12 @@
     def __init__(self, decoder: ItemDecoder) -> None:
         self.catalogue: GatewayCatalogue | None = None
         self.endpoints: dict[InstanceId, EndpointRecord] = {}
-        self.wanted: dict[str, WantedVersion] = {}
+        self.named: dict[str, list[WantedVersion]] = {}
         self._decoder = decoder
         self._tables = {table: _TableState() for table in Table}
         self._endpoint_ids: dict[str, InstanceId] = {}
         self._lapsed: dict[InstanceId, float] = {}
+        self._first_answer = True
 
     def __repr__(self) -> str:
         version = self.catalogue.version if self.catalogue else None
@@ -109,6 +116,11 @@
         listed = self._tables[Table.ENDPOINTS].revision > 0
         return self.catalogue is not None and listed
 
+    def find_wanted(self, model: str) -> WantedVersion | None:
+        """Return the newest version named for a model."""
+        named = self.named.get(model)
+        return named[-1] if named else None
+
     def get_revision(self, table: Table) -> int:
         """Return the store's revision that a table is known at, 0 for none."""
         return self._tables[table].revision
@@ -123,10 +135,14 @@
         if answer.revision < state.revision:
             logger.info(
                 "older answer ignored",
-                extra={"table": answer.table.value, "told": answer.revision,
-                       "held": state.revision},
+                extra={
+                    "table": answer.table.value,
+                    "told": answer.revision,
+                    "held": state.revision,
+                },
             )
             return False
+        first = state.revision == 0
         if now - state.confirmed_at > OUTAGE_SECONDS + LAPSE_HOLD_SECONDS:
             state.regained_at = now
         state.revision = answer.revision
@@ -137,6 +153,7 @@
             for key in list(state.items):
                 if key not in told:
                     items.append(Item(key, answer.revision, None))
+        self._first_answer = first
         changed = False
         for item in items:
             held = state.items.get(item.key)
@@ -202,10 +219,16 @@
             logger.warning("item not understood", extra={"key": item.key})
             return
         model, version = named
-        held = self.wanted.get(model)
-        if held is None or version > held.version:
-            self.wanted[model] = WantedVersion(model, version, now)
-            logger.info("weights named", extra={"model": model, "version": version})
+        held = self.find_wanted(model)
+        if held is not None and version <= held.version:
+            return
+        at_start = self._first_answer
+        named = self.named.setdefault(model, [])
+        named.append(WantedVersion(model, version, now, at_start))
+        del named[:-MOST_NAMED]
+        logger.info(
+            "weights named", extra={"model": model, "version": version, "at_start": at_start}
+        )
 
     def _take_endpoint(self, item: Item, now: float) -> None:
         record = self._decoder.read_endpoint(item) if item.value is not None else None
@@ -229,5 +252,3 @@
         self._lapsed.pop(name, None)
         if self.endpoints.pop(name, None) is not None:
             logger.info("endpoint gone", extra={"endpoint": name, "revision": item.revision})
-
-
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -77,7 +77,12 @@
         return not self._lost and self._sink is None and self._http.our_state is h11.IDLE
 
     def send(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, request: str,
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        request: str,
         sink: AnswerSink,
     ) -> None:
         """Send an order; its answer goes to the sink."""
@@ -189,7 +194,12 @@
     """An order on its way to a connection."""
 
     def __init__(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, request: str,
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        request: str,
         sink: AnswerSink,
     ) -> None:
         self.method = method
@@ -256,8 +266,14 @@
         return self._open >= self.most_open and not self._idle
 
     def send(
-        self, method: bytes, target: bytes, headers: Headers, body: bytes, request: str,
-        sink: AnswerSink, fresh: bool = False,
+        self,
+        method: bytes,
+        target: bytes,
+        headers: Headers,
+        body: bytes,
+        request: str,
+        sink: AnswerSink,
+        fresh: bool = False,
     ) -> _Order:
         """Send an order on a kept connection, or on one dialled for it.
 
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -23,7 +23,14 @@
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.rollout import RolloutTask
 from coltsfootshift.gateway.service import Gateway, GatewayBounds
-from coltsfootshift.ids import FailureDomain, InstanceId, Purpose, Role, ServiceName, make_incarnation
+from coltsfootshift.ids import (
+    FailureDomain,
+    InstanceId,
+    Purpose,
+    Role,
+    ServiceName,
+    make_incarnation,
+)
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.logs import get_logger, set_up_logs
 from coltsfootshift.messages import EngineNotice, Hello
@@ -33,7 +40,9 @@
 
 __all__ = ["GatewayAgent", "GatewayEntry", "GatewayNode", "NodePlace", "TableSource"]
 
-NO_SECRET = "the platform gives its processes no secret"  # a label, no protection (docs/PLATFORM.md)
+NO_SECRET = (
+    "the platform gives its processes no secret"  # a label, no protection (docs/PLATFORM.md)
+)
 ACCEPT_AFTER_LEAVING_SECONDS = 4.0  # callers that kept an address come for about two answers' lives
 STOP_MARGIN_SECONDS = 0.7  # before the platform kills the process
 CHECK_SECONDS = 0.1
@@ -69,7 +78,11 @@
     role: Role
 
     def __init__(
-        self, reactor: Any, place: NodePlace, decoder: ItemDecoder, roster: Roster,
+        self,
+        reactor: Any,
+        place: NodePlace,
+        decoder: ItemDecoder,
+        roster: Roster,
         listens_for_entries: bool,
     ) -> None:
         self.reactor = reactor
@@ -194,8 +207,14 @@
         self.source: TableSource | None = None
         self.sites: list[tuple[Address, Site]] = []
         self.gateway = Gateway(
-            reactor, self.known, dialect, place.failure_domain, place.peers.host, bounds,
-            self.metrics, self.rng,
+            reactor,
+            self.known,
+            dialect,
+            place.failure_domain,
+            place.peers.host,
+            bounds,
+            self.metrics,
+            self.rng,
         )
         self._callers = callers
         self._factory = CallerFactory(self.gateway, reactor)
@@ -228,7 +247,10 @@
     def engine_told(self, notice: EngineNotice) -> None:
         """Take what an agent says of its engine before the store lists it."""
         self.gateway.note_engine(
-            Address(notice.host, notice.port), notice.born, notice.model, notice.version,
+            Address(notice.host, notice.port),
+            notice.born,
+            notice.model,
+            notice.version,
             notice.loading,
         )
 
@@ -256,7 +278,9 @@
 
     def may_stop(self, left_for: float) -> bool:
         """Stop once callers have had time to go elsewhere and all answers are out."""
-        return left_for > ACCEPT_AFTER_LEAVING_SECONDS + CHECK_SECONDS and not self.gateway.unfinished
+        return (
+            left_for > ACCEPT_AFTER_LEAVING_SECONDS + CHECK_SECONDS and not self.gateway.unfinished
+        )
 
     def _stop_listening(self) -> None:
         self._port.stopListening()
@@ -293,8 +317,17 @@
         super().__init__(reactor, place, decoder, Roster(None), listens_for_entries=False)
         self._engine_address = engine_address
         self.rollout = RolloutTask(
-            self.context, self.known, engine, make_origin, place.peers, service,
-            Place(place.region, place.failure_domain), regions, link_mbps, self.metrics, self.rng,
+            self.context,
+            self.known,
+            engine,
+            make_origin,
+            place.peers,
+            service,
+            Place(place.region, place.failure_domain),
+            regions,
+            link_mbps,
+            self.metrics,
+            self.rng,
             self._tell_entries,
         )
 
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -213,9 +213,7 @@
             places[name] = Place(self._regions.get(domain, ""), domain)
             addresses[name] = Address(record.address.host, self._port)
         peers = choose_neighbours(self._own, places, self._service)
-        self._dialer.set_targets(
-            {InstanceId(name): addresses[InstanceId(name)] for name in peers}
-        )
+        self._dialer.set_targets({InstanceId(name): addresses[InstanceId(name)] for name in peers})
         self._tell(PullersKnown(places))
         least = int(LEAST_SERVING_SHARE * len(places))
         self._waves.set_instances(tuple(places), least, self.reactor.seconds())
@@ -225,7 +223,7 @@
         if spec is None or not spec.models:
             return
         model = spec.models[0]
-        named = self._known.wanted.get(model)
+        named = self._known.find_wanted(model)
         wanted = (model, named.version if named else FIRST_VERSION)
         if wanted == self._wanted:
             return
@@ -281,8 +279,12 @@
         self._metrics.count("load_orders")
         logger.info(
             "load ordered",
-            extra={"model": model, "version": version, "accepted": result.accepted,
-                   "status": result.status},
+            extra={
+                "model": model,
+                "version": version,
+                "accepted": result.accepted,
+                "status": result.status,
+            },
         )
         self._announce(serving or 0, True, report.born)
 
@@ -332,9 +334,7 @@
         label = label_version(model, version)
         self._tell(WeightsWanted(Digest(""), 0))
         self._tell(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
-        logger.info(
-            "version begun", extra={"model": model, "version": version, "held": len(held)}
-        )
+        logger.info("version begun", extra={"model": model, "version": version, "held": len(held)})
 
     async def _check_staged(self, model: str, version: int) -> bool:
         """Read back what is staged; stage again what is missing or has changed."""
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -45,8 +45,12 @@
 
 @dataclass(frozen=True, slots=True)
 class GatewayBounds:
-    """Bounds of the deployment, in seconds but for the budget's share and allowance."""
+    """Bounds of the deployment, in seconds but for the budget's share and allowance.
 
+    A process that has been up for less than `contact_within` is not held to the other bounds.
+    """
+
+    contact_within: float
     revoke_within: float
     version_within: float
     budget_ratio: float
@@ -77,9 +81,7 @@
         self._source = source
         self._bounds = bounds
         self._rng = rng
-        self._checks: list[Check] = [
-            RouteCheck(rng), KeyCheck(bounds.revoke_within), LimitCheck()
-        ]
+        self._checks: list[Check] = [RouteCheck(rng), KeyCheck(bounds.revoke_within), LimitCheck()]
         self._placement = Placement(domain, rng)
         self._budget = RetryBudget(
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window
@@ -95,7 +97,9 @@
         self._loop.clock = reactor
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
         metrics.add_gauge("exchanges_waiting", self._count_waiting)
-        metrics.add_gauge("links_dialled", lambda: float(sum(p.dialled for p in self._pools.values())))
+        metrics.add_gauge(
+            "links_dialled", lambda: float(sum(p.dialled for p in self._pools.values()))
+        )
 
     def start(self) -> None:
         """Start the ticks."""
@@ -190,9 +194,14 @@
         self.metrics.observe("exchange_seconds", now - exchange.admission.arrived_at)
         logger.info(
             "request ended",
-            extra={"request": exchange.request, "route": exchange.route.name, "outcome": outcome,
-                   "runs": exchange.runs, "sends": exchange.sends,
-                   "seconds": round(now - exchange.admission.arrived_at, 3)},
+            extra={
+                "request": exchange.request,
+                "route": exchange.route.name,
+                "outcome": outcome,
+                "runs": exchange.runs,
+                "sends": exchange.sends,
+                "seconds": round(now - exchange.admission.arrived_at, 3),
+            },
         )
         self.reactor.callLater(0, self._pump, exchange.service.name)
 
@@ -233,9 +242,7 @@
         if state is None:
             state = EndpointState(record, spec.engine)
             self._states[name] = state
-            self._pools[name] = LinkPool(
-                self.reactor, record.address, self._dialect, self._source
-            )
+            self._pools[name] = LinkPool(self.reactor, record.address, self._dialect, self._source)
         state.record = record
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entries)
@@ -259,12 +266,17 @@
         return found
 
     def _find_least_version(self, exchange: Exchange, now: float) -> int:
-        """Return the oldest version that may still answer a new request."""
-        wanted = self.known.wanted.get(exchange.admission.head.model)
-        if wanted is None:
-            return 0
-        over = wanted.learnt_at + self._bounds.version_within - VERSION_MARGIN_SECONDS
-        return wanted.version if now >= over else 0
+        """Return the oldest version that may still answer a new request.
+
+        Each version named has a time of its own: one that is named while the one before is still
+        being loaded does not put off the time of that one.
+        """
+        bounds = self._bounds
+        for wanted in reversed(self.known.named.get(exchange.admission.head.model, [])):
+            within = bounds.contact_within if wanted.at_start else bounds.version_within
+            if now >= wanted.learnt_at + within - VERSION_MARGIN_SECONDS:
+                return wanted.version
+        return 0
 
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
@@ -293,10 +305,14 @@
         headers = self._dialect.write_order(head, terms, len(body))
         logger.info(
             "request placed",
-            extra={"request": exchange.request, "endpoint": record.endpoint,
-                   "waited": round(now - admission.arrived_at, 3), "own": state.own_count,
-                   "load": round(state.count_load(now), 1),
-                   "predicted": round(state.predict_start(exchange.size, now), 3)},
+            extra={
+                "request": exchange.request,
+                "endpoint": record.endpoint,
+                "waited": round(now - admission.arrived_at, 3),
+                "own": state.own_count,
+                "load": round(state.count_load(now), 1),
+                "predicted": round(state.predict_start(exchange.size, now), 3),
+            },
         )
         sink = exchange.start_attempt(state)
         fresh = exchange.route.kind is RouteKind.NON_IDEMPOTENT
@@ -380,8 +396,12 @@
         version = self.known.catalogue.version if self.known.catalogue else None
         logger.info(
             "request denied",
-            extra={"request": head.request, "cause": denied.reason, "status": denied.status,
-                   "catalogue": version},
+            extra={
+                "request": head.request,
+                "cause": denied.reason,
+                "status": denied.status,
+                "catalogue": version,
+            },
         )
         call.answer(denied.status, [], b"")
 
