--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -80,8 +80,9 @@
     ids=["lapsed in an outage", "was leaving", "no outage"],
 )
 def test_endpoint_that_lapsed_is_held(known, outage, record, kept):
-    tell(known, Table.ENDPOINTS, [("e-1", 4, record)], 4, 10.0)
-    back = 10.0 + outage
+    for moment in (2.0, 4.0, 6.0):
+        tell(known, Table.ENDPOINTS, [("e-1", 4, record)], 4, moment)
+    back = 6.0 + outage
     tell(known, Table.ENDPOINTS, [("e-1", 6, None)], 6, back)
     assert ("e-1" in known.endpoints) is kept
     known.drop_lapsed(back + LAPSE_HOLD_SECONDS)
