--- a/src/coltsfootshift/catalogueservice/http.py
+++ b/src/coltsfootshift/catalogueservice/http.py
@@ -9,8 +9,8 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import HTTPConnectionPool
 
-from coltsfootshift.messages import Difference, VersionedRecord
 from coltsfootshift.catalogueservice.base import Platform, PlatformError
+from coltsfootshift.messages import Difference, VersionedRecord
 
 __all__ = ["HttpPlatform"]
 
--- a/src/coltsfootshift/controllers/weights.py
+++ b/src/coltsfootshift/controllers/weights.py
@@ -66,7 +66,15 @@
     exist there. Chunks of a version no longer wanted are dropped.
     """
 
-    def __init__(self, own: InstanceId, rng: Random, own_place: Place, store_region: str = ""):
+    def __init__(
+        self,
+        own: InstanceId,
+        rng: Random,
+        own_place: Place,
+        store_region: str = "",
+        asks_at_once: int = ASKS_AT_ONCE,
+    ) -> None:
+        self._asks_at_once = asks_at_once
         self._rng = rng
         self._place = own_place
         self._holdings = Holdings(Digest(""), 0, ())
@@ -307,7 +315,7 @@
         return actions + self._plan_asks(now)
 
     def _has_room(self, now: float) -> bool:
-        if len(self._asked) >= ASKS_AT_ONCE:
+        if len(self._asked) >= self._asks_at_once:
             return False
         chunk_seconds = self._measure_chunk()
         if not chunk_seconds:
--- a/src/coltsfootshift/gateway/budget.py
+++ b/src/coltsfootshift/gateway/budget.py
@@ -42,7 +42,7 @@
     def take(self, service: ServiceName, now: float) -> bool:
         """Return whether one more order may be sent, and count it."""
         retries = self._retries.setdefault(service, deque())
-        if len(retries) >= self.measure_room(service, now):
+        if len(retries) + 1 > self.measure_room(service, now):
             return False
         retries.append(now)
         return True
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -5,8 +5,8 @@
 from abc import ABC, abstractmethod
 from typing import Any
 
-from coltsfootshift.gateway.calls import AnswerHead
 from coltsfootshift.gateway.callers import IncomingCall
+from coltsfootshift.gateway.calls import AnswerHead
 from coltsfootshift.gateway.checks import Admission
 from coltsfootshift.gateway.events import EventCutter
 from coltsfootshift.gateway.links import AnswerSink
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -4,7 +4,6 @@
 
 from abc import ABC, abstractmethod
 from random import Random
-from typing import Any
 
 import msgspec
 from twisted.internet.task import LoopingCall
--- a/src/coltsfootshift/gateway/knowledge.py
+++ b/src/coltsfootshift/gateway/knowledge.py
@@ -214,11 +214,11 @@
                     extra={"version": catalogue.version, "revision": item.revision},
                 )
             return
-        named = self._decoder.read_version(item)
-        if named is None:
+        told = self._decoder.read_version(item)
+        if told is None:
             logger.warning("item not understood", extra={"key": item.key})
             return
-        model, version = named
+        model, version = told
         held = self.find_wanted(model)
         if held is not None and version <= held.version:
             return
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -180,8 +180,7 @@
         self._order = order
 
     def buildProtocol(self, addr: Any) -> Link:
-        link = _FreshLink(self._pool, self._order)
-        return link
+        return _FreshLink(self._pool, self._order)
 
     def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
         self._pool.note_dial_failed()
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -20,8 +20,8 @@
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_row
 from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, TableAnswer
-from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.rollout import RolloutTask
+from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import Gateway, GatewayBounds
 from coltsfootshift.ids import (
     FailureDomain,
@@ -360,7 +360,7 @@
 
 
 class _MetricsPage(Resource):
-    isLeaf = True
+    isLeaf = True  # noqa: N815  hook of twisted.web
 
     def __init__(self, metrics: Metrics) -> None:
         super().__init__()
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -145,7 +145,7 @@
         self.failure_rate += FAILURE_WEIGHT * (1.0 - self.failure_rate)
 
     def note_unreachable(self, request: RequestId, now: float) -> None:
-        """The endpoint could not be reached, or fell silent; one trial at a time until it answers."""
+        """The endpoint is out of reach or silent; one trial at a time until it answers."""
         self.note_failed(request, now)
         self.blocked_until = max(self.blocked_until, now + self._block)
         self._block = min(MOST_BLOCK_SECONDS, self._block * 2)
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -40,11 +40,12 @@
 from coltsfootshift.gateway.engines import EngineReport, LocalEngine, PortError, VersionOrigin
 from coltsfootshift.gateway.knowledge import Knowledge
 from coltsfootshift.gateway.model import EngineSpec
+from coltsfootshift.gateway.versions import VersionPlan
 from coltsfootshift.ids import Digest, InstanceId, Purpose, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
     Bitfield,
-    ChunkData,
+    ChunkPart,
     ChunkRefused,
     ChunkRequest,
     Have,
@@ -62,7 +63,9 @@
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.25  # an engine's own report is free on its machine
 REPEAT_ORDER_SECONDS = 1.0  # an order without an answer may have been accepted; reports tell
-LINK_SHARE = 0.95  # of the link; the rest is left to heartbeats and notices
+LINK_SHARE = 0.85  # of the link; the rest is left to answers that begin meanwhile
+PART_BYTES = 8192  # an answer that shares the link waits for one part, about 14 ms at 4.7 Mbit/s
+ASKS_AT_ONCE = 4  # chunks on their way delay the requests that share the link
 ORIGIN_COPIES = 2  # an origin's link carries about three copies while one passes an agent's link
 LEAST_SERVING_SHARE = 0.5  # of the replicas; they keep serving while the others load
 FIRST_VERSION = 1  # serves until an operator names another
@@ -111,14 +114,16 @@
         self._rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
         self._metrics = metrics
         self._tell_entries = tell
-        self._controller = WeightsController(self._own, rng, place)
+        self._controller = WeightsController(self._own, rng, place, asks_at_once=ASKS_AT_ONCE)
         self._waves = Waves(self._own)
         self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
         self._streams: dict[InstanceId, PeerStream] = {}
+        self._plan = VersionPlan()
         self._origin: tuple[Address, VersionOrigin] | None = None
         self._wanted: tuple[str, int] = ("", 0)
         self._digests: list[bytes] = []
         self._chunks: dict[int, bytes] = {}
+        self._parts: dict[tuple[InstanceId, int], bytearray] = {}
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._whole = False
@@ -165,6 +170,8 @@
         """Drop a neighbour."""
         if self._streams.get(stream.peer_id) is stream:
             del self._streams[stream.peer_id]
+            for key in [key for key in self._parts if key[0] == stream.peer_id]:
+                del self._parts[key]
             self._tell(NeighbourClosed(stream.peer_id))
 
     def stream_received(self, stream: PeerStream, message: Message) -> None:
@@ -180,8 +187,8 @@
             self._tell(ChunkAsked(peer, Digest(message.digest), message.index))
         elif isinstance(message, ChunkRefused):
             self._tell(ChunkFailed(Digest(message.digest), message.index, peer))
-        elif isinstance(message, ChunkData):
-            self._take_chunk(message.digest, message.index, message.data, peer)
+        elif isinstance(message, ChunkPart):
+            self._take_part(peer, message)
         elif isinstance(message, ServingNotice):
             self._take_states(message)
         elif not isinstance(message, Leaving):
@@ -223,8 +230,8 @@
         if spec is None or not spec.models:
             return
         model = spec.models[0]
-        named = self._known.find_wanted(model)
-        wanted = (model, named.version if named else FIRST_VERSION)
+        chosen = self._plan.choose(self._known.named.get(model, []), self.reactor.seconds())
+        wanted = (model, chosen.version if chosen else FIRST_VERSION)
         if wanted == self._wanted:
             return
         self._wanted = wanted
@@ -238,6 +245,7 @@
     def _tick(self) -> None:
         now = self.reactor.seconds()
         self._tell(WeightsTick())
+        self._choose_version()
         if now - self._reported_at >= REPORT_SECONDS and not self._working:
             self._reported_at = now
             self._work(self._advance())
@@ -286,11 +294,14 @@
                 "status": result.status,
             },
         )
-        self._announce(serving or 0, True, report.born)
+        if result.accepted:
+            self._plan.note_ordered(version)
+            self._announce(serving or 0, True, report.born)
 
     def _take_report(self, report: EngineReport) -> None:
         if self._report is not None and report.born != self._report.born:
             logger.info("engine restarted", extra={"born": report.born})
+            self._plan.forget_order()
             self._whole = False
             self._digests = []
         self._report = report
@@ -364,7 +375,7 @@
         elif isinstance(action, AskChunk):
             self._send(action.peer, ChunkRequest(action.digest, action.index))
         elif isinstance(action, SendChunk):
-            self.reactor.callLater(max(0.0, action.delay), self._upload, action)
+            self._plan_upload(action)
         elif isinstance(action, RefuseChunk):
             self._send(action.peer, ChunkRefused(action.digest, action.index))
         elif isinstance(action, SendBits):
@@ -416,15 +427,41 @@
             self._chunks[index] = data
             self._tell(ChunkStored(Digest(digest), index, source))
 
-    def _upload(self, action: SendChunk) -> None:
+    def _plan_upload(self, action: SendChunk) -> None:
+        """Send a chunk in parts while the link carries it, so that answers pass between them."""
+        spec = self._find_spec()
+        seconds = spec.chunk_bytes / self._rate if spec else 0.0
+        begin = max(0.0, action.delay - seconds)
+        self.reactor.callLater(begin, self._upload, action, 0)
+
+    def _upload(self, action: SendChunk, offset: int) -> None:
         data = self._chunks.get(action.index)
         if data is None or action.digest != label_version(*self._wanted):
             self._send(action.peer, ChunkRefused(action.digest, action.index))
-        else:
-            self._metrics.count("chunks_sent")
-            self._send(action.peer, ChunkData(action.digest, action.index, data))
+            self._tell(ChunkSent(action.peer))
+            return
+        part = data[offset : offset + PART_BYTES]
+        end = offset + len(part)
+        message = ChunkPart(action.digest, action.index, offset, len(data), part)
+        self._send(action.peer, message)
+        if end < len(data):
+            self.reactor.callLater(len(part) / self._rate, self._upload, action, end)
+            return
+        self._metrics.count("chunks_sent")
         self._tell(ChunkSent(action.peer))
 
+    def _take_part(self, peer: InstanceId, message: ChunkPart) -> None:
+        """Put a chunk together; its parts come in order on one stream."""
+        parts = self._parts.setdefault((peer, message.index), bytearray())
+        if message.offset == 0:
+            parts.clear()
+        if message.offset == len(parts):
+            parts.extend(message.data)
+        if message.offset + len(message.data) < message.total:
+            return
+        del self._parts[peer, message.index]
+        self._take_chunk(message.digest, message.index, bytes(parts), peer)
+
     def _take_states(self, message: ServingNotice) -> None:
         news = []
         for row in message.rows:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -154,10 +154,9 @@
             call.answer(error.status, [], b"")
             return
         admission = Admission(head, call.arrived_at)
-        if self.leaving_since is not None:
-            if now - self.leaving_since > REFUSE_AFTER_LEAVING_SECONDS:
-                self._answer_refusal(call, head, NotRun("this entry is leaving", retry_after=0.0))
-                return
+        if self._refuses_all(now):
+            self._answer_refusal(call, head, NotRun("this entry is leaving", retry_after=0.0))
+            return
         for check in self._checks:
             decided = check.refuse(admission, self.known, now)
             if isinstance(decided, Denied):
@@ -230,6 +229,11 @@
         for pool in self._pools.values():
             pool.close()
 
+    def _refuses_all(self, now: float) -> bool:
+        if self.leaving_since is None:
+            return False
+        return now - self.leaving_since > REFUSE_AFTER_LEAVING_SECONDS
+
     def _keep_state(
         self, name: InstanceId, record: EndpointRecord, spec: ServiceSpec
     ) -> EndpointState:
--- a/src/coltsfootshift/mesh.py
+++ b/src/coltsfootshift/mesh.py
@@ -14,6 +14,7 @@
 from coltsfootshift.audit import AuditTrail
 from coltsfootshift.catalogue.table import RecordTable
 from coltsfootshift.catalogue.view import CatalogueView
+from coltsfootshift.catalogueservice.base import CATALOGUE_TABLE, INSTANCES_TABLE, Platform
 from coltsfootshift.controllers.base import Event
 from coltsfootshift.controllers.catalogue import TableController
 from coltsfootshift.controllers.fallbacks import FallbackAsker
@@ -58,7 +59,6 @@
     TableStates,
 )
 from coltsfootshift.peerkeeper import PeerKeeper
-from coltsfootshift.catalogueservice.base import CATALOGUE_TABLE, INSTANCES_TABLE, Platform
 from coltsfootshift.settings import ProcessSettings
 from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
 from coltsfootshift.tasks import Task
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -46,6 +46,7 @@
 from coltsfootshift.messages.weights import (
     Bitfield,
     ChunkData,
+    ChunkPart,
     ChunkRefused,
     ChunkRequest,
     Have,
@@ -73,6 +74,7 @@
     "Bitfield",
     "Cancel",
     "ChunkData",
+    "ChunkPart",
     "ChunkRefused",
     "ChunkRequest",
     "Credit",
--- a/src/coltsfootshift/messages/weights.py
+++ b/src/coltsfootshift/messages/weights.py
@@ -9,6 +9,7 @@
 __all__ = [
     "Bitfield",
     "ChunkData",
+    "ChunkPart",
     "ChunkRefused",
     "ChunkRequest",
     "Have",
@@ -73,6 +74,16 @@
     data: bytes
 
 
+class ChunkPart(Message, frozen=True, array_like=True, tag="part"):
+    """A part of a chunk of `total` bytes; the parts of one chunk come in order."""
+
+    digest: str
+    index: int
+    offset: int
+    total: int
+    data: bytes
+
+
 class ServingRow(msgspec.Struct, frozen=True, array_like=True):
     """What an instance's engine serves; `sequence` rises with every change."""
 
--- a/src/coltsfootshift/node.py
+++ b/src/coltsfootshift/node.py
@@ -12,6 +12,7 @@
 
 from twisted.internet.error import CannotListenError
 
+from coltsfootshift.catalogueservice.http import HttpPlatform
 from coltsfootshift.decisions import DecisionLog
 from coltsfootshift.errors import SettingsError
 from coltsfootshift.ids import InstanceId, Purpose, Role, make_incarnation
@@ -23,7 +24,6 @@
 from coltsfootshift.messages import Hello
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.operators import OperatorsPage
-from coltsfootshift.catalogueservice.http import HttpPlatform
 from coltsfootshift.settings import EXIT_BAD_SETTINGS, ProcessSettings, load_settings
 from coltsfootshift.streams import StreamContext, StreamListener
 
