Share first pulls by instances, and begin a version at once

Cause: each chunk's first region was drawn evenly over regions, so the only agent of a region pulled a third of all chunks, 16 x 0.1 s, while the origin had 2.3 s before it was lost; and agents began 0.1 to 0.4 s late, reading back 48 chunks of the version before.

--- a/src/coltsfootshift/controllers/duties.py
+++ b/src/coltsfootshift/controllers/duties.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import math
 
 from coltsfootshift.controllers.chunks import Place
 from coltsfootshift.controllers.rings import rank_by_hash
@@ -18,8 +19,9 @@
 class Duties:
     """The rank of one instance for every chunk of a version, within its region.
 
-    For each chunk the regions have an order. The first is where the weight store is, or the first
-    by hash where that is not known; it pulls the chunk from the origin. Every further region takes
+    For each chunk the regions have an order. The first is where the weight store is; where that is
+    not known, a region comes first as often as its share of the instances, so that no instance
+    pulls more chunks from the origin than another. Every further region takes
     it from the one before, so that a chunk crosses into each region once and the links between
     regions share the load. Within a region the instances are ranked by rendezvous hash: rank 0
     brings the chunk in, the next takes over.
@@ -33,7 +35,10 @@
         chunks: int,
         store_region: str = "",
     ) -> None:
-        self._regions = sorted({place.region for place in places.values()})
+        self._sizes: dict[str, int] = {}
+        for place in places.values():
+            self._sizes[place.region] = self._sizes.get(place.region, 0) + 1
+        self._regions = sorted(self._sizes)
         self._store_region = store_region if store_region in self._regions else ""
         self._digest = digest
         region = places[own].region if own in places else ""
@@ -50,12 +55,17 @@
     def _order_regions(self, index: int) -> list[str]:
         if len(self._regions) < 2:
             return self._regions
-        order = rank_by_hash(f"{self._digest}/{index}", self._regions)
+        order = sorted(self._regions, key=lambda region: self._draw_region(index, region))
         if self._store_region:
             order.remove(self._store_region)
             order.insert(0, self._store_region)
         return order
 
+    def _draw_region(self, index: int, region: str) -> float:
+        """Return a draw of weighted rendezvous hashing: the lowest comes first."""
+        drawn = (_hash_name(f"{self._digest}/{index}/{region}") + 1) / (MASK_64 + 2)
+        return -math.log(drawn) / self._sizes[region]
+
 
 def _rank_chunks(
     own: InstanceId, names: list[InstanceId], digest: Digest, chunks: int
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -127,6 +127,7 @@
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._whole = False
+        self._may_hold = True
         self._working = False
         self._ordered_at = float("-inf")
         self._started_ms = 0
@@ -239,6 +240,7 @@
         self._chunks = {}
         self._whole = False
         self._ordered_at = float("-inf")
+        self._reported_at = float("-inf")
         self._waves.set_wanted(Digest(str(wanted[1])), self.reactor.seconds())
         logger.info("version wanted", extra={"model": model, "version": wanted[1]})
 
@@ -302,6 +304,7 @@
         if self._report is not None and report.born != self._report.born:
             logger.info("engine restarted", extra={"born": report.born})
             self._plan.forget_order()
+            self._may_hold = True
             self._whole = False
             self._digests = []
         self._report = report
@@ -328,14 +331,7 @@
         digests = await origin.read_digests(model, version)
         if self._wanted != (model, version):
             return
-        held = set()
-        for index in sorted(await self._engine.list_staged(model)):
-            if index >= len(digests):
-                continue
-            data = await self._engine.read_staged(model, index)
-            if hashlib.sha256(data).digest() == digests[index]:
-                self._chunks[index] = data
-                held.add(index)
+        held = await self._recover(model, digests)
         if self._wanted != (model, version):
             return
         spec = self._find_spec()
@@ -347,6 +343,21 @@
         self._tell(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
         logger.info("version begun", extra={"model": model, "version": version, "held": len(held)})
 
+    async def _recover(self, model: str, digests: list[bytes]) -> set[int]:
+        """Return the chunks that are staged already; asked once for each start of the engine."""
+        held: set[int] = set()
+        if not self._may_hold:
+            return held
+        for index in sorted(await self._engine.list_staged(model)):
+            if index >= len(digests):
+                continue
+            data = await self._engine.read_staged(model, index)
+            if hashlib.sha256(data).digest() == digests[index]:
+                self._chunks[index] = data
+                held.add(index)
+        self._may_hold = False
+        return held
+
     async def _check_staged(self, model: str, version: int) -> bool:
         """Read back what is staged; stage again what is missing or has changed."""
         digests = self._digests
--- /dev/null
+++ b/tests/test_gateway_weights.py
@@ -0,0 +1,49 @@
+"""Weights of the gateway: which version is brought, and who pulls which chunk."""
+
+from __future__ import annotations
+
+import pytest
+
+from coltsfootshift.controllers.chunks import Place
+from coltsfootshift.controllers.duties import Duties
+from coltsfootshift.gateway.knowledge import WantedVersion
+from coltsfootshift.gateway.versions import GIVE_UP_SECONDS, VersionPlan
+from coltsfootshift.ids import Digest, InstanceId
+
+TWO = WantedVersion("m", 2, 18.0)
+
+
+@pytest.mark.parametrize(
+    ("named_at", "asked_at", "ordered", "expected"),
+    [
+        (21.0, 21.0, 0, 2),
+        (18.5, 18.5, 0, 3),
+        (21.0, 23.0, 2, 3),
+        (21.0, 18.0 + GIVE_UP_SECONDS + 0.1, 0, 3),
+    ],
+    ids=["half way", "hardly begun", "ordered", "stuck"],
+)
+def test_version_named_while_one_is_on_its_way(named_at, asked_at, ordered, expected):
+    plan = VersionPlan()
+    plan.choose([TWO], 18.0)
+    if ordered:
+        plan.note_ordered(ordered)
+    three = WantedVersion("m", 3, named_at)
+    assert plan.choose([TWO, three], asked_at).version == expected
+
+
+@pytest.mark.parametrize("sizes", [(4, 4, 1), (3, 3, 3), (1, 1, 8)])
+def test_pulls_from_the_origin_are_shared_by_instances_not_regions(sizes):
+    chunks = 480
+    places = {}
+    for region, size in enumerate(sizes):
+        for number in range(size):
+            places[InstanceId(f"{region}-{number}")] = Place(f"r{region}", f"d{region}")
+    most = 0
+    for own in places:
+        duties = Duties(own, places, Digest("m@2"), chunks)
+        pulls = sum(
+            1 for at, rank in zip(duties.positions, duties.ranks, strict=True) if at == rank == 0
+        )
+        most = max(most, pulls)
+    assert most <= 1.5 * chunks / len(places)
