Test what callers get by scripted endpoints; an order that never left has not run

A gateway on a clock of its own, with scripted callers and endpoints (tests/gateway_harness.py), covers answers that are cut, spoilt, unsealed, another request's, followed by bytes, and streams that are resumed. Found by the table: a request whose connection was still being opened at the route's timeout was told as unknown (504); it has not run and is told so (503).

--- a/Makefile
+++ b/Makefile
@@ -17,8 +17,8 @@
 	$(VENV)/bin/python tests/run_known_red.py
 
 check: $(STAMP)
-	$(VENV)/bin/black --check --quiet src tests
-	$(VENV)/bin/ruff check --quiet src tests
+	$(VENV)/bin/black --check --quiet src tests platform
+	$(VENV)/bin/ruff check --quiet src tests platform
 	$(VENV)/bin/mypy
 
 clean:
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -302,12 +302,13 @@
 
     def _end_late(self) -> None:
         """The deadline or the route's timeout has passed."""
-        running = self._attempt is not None
+        if self._attempt is not None and not self._order.sent:
+            self.runs -= 1
         self._cancel_order()
         self._close("deadline")
         if self.begun:
             self.call.abort()
-        elif running or self.runs > 0:
+        elif self.runs > 0:
             self._owner.write_refusal(self, Unknown("the deadline has passed", status=504))
         else:
             self._owner.write_refusal(self, NotRun("the deadline has passed", retry_after=0.0))
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -211,6 +211,11 @@
         self.connector: Any = None
         self.cancelled = False
 
+    @property
+    def sent(self) -> bool:
+        """Whether the order may have left this process."""
+        return self.link is not None
+
     def place(self, link: Link) -> None:
         """Send the order on a connection."""
         self.link = link
--- /dev/null
+++ b/tests/test_gateway_answers.py
@@ -0,0 +1,320 @@
+"""What callers get and endpoints are asked for, whatever endpoints answer."""
+
+from __future__ import annotations
+
+import pytest
+from gateway_harness import (
+    TIMEOUT,
+    GatewayHarness,
+    make_answer,
+    make_chunk,
+    make_event,
+)
+from twisted.internet.error import ConnectionDone, ConnectionLost
+
+from coltsfootshift.gateway.knowledge import WantedVersion
+from coltsfootshift.gateway.model import CallerLimits
+
+NOT_RUN = make_answer(status=503, headers=("X-Not-Executed: 1",), sealed=False)
+MISDIRECTED = make_answer(status=421, headers=("X-Instance-Id: i-2",), sealed=False)
+
+
+def read_status(caller) -> int:
+    return int(caller.value().split(b" ", 2)[1]) if caller.value() else 0
+
+
+def read_body(caller) -> bytes:
+    return caller.value().partition(b"\r\n\r\n")[2]
+
+
+def read_chunks(caller) -> bytes:
+    rest = read_body(caller)
+    data = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        length = int(size, 16)
+        data += rest[:length]
+        rest = rest[length + 2 :]
+    return data
+
+
+def test_order_carries_the_call_and_the_gateways_terms():
+    harness = GatewayHarness(endpoints=1)
+    harness.call(body=b"abc", headers=("X-Deadline-Ms: 700", "X-Other: 1", "X-Tenant: forged"))
+    order = harness.accept().value()
+    head = order.lower()
+    assert order.startswith(b"POST /read/x HTTP/1.1\r\n") and order.endswith(b"\r\n\r\nabc")
+    assert b"x-expect-instance: e-0" in head and b"x-tenant: team-1" in head
+    assert b"x-other: 1" in head and b"x-deadline-ms: 700" in head
+    assert b"x-api-key" not in head and b"forged" not in head
+
+
+@pytest.mark.parametrize(
+    ("route", "first", "again", "status"),
+    [
+        ("read", make_answer(b"ok"), False, 200),
+        ("read", make_answer(b"no", status=404), False, 404),
+        ("read", make_answer(b"", status=500), True, 200),
+        ("book", make_answer(b"", status=500), False, 500),
+        ("read", NOT_RUN, True, 200),
+        ("book", NOT_RUN, True, 200),
+        ("book", MISDIRECTED, True, 200),
+        ("book", make_answer(status=503), False, 502),
+        ("book", make_answer(status=429), False, 502),
+        ("read", make_answer(status=503), True, 200),
+        ("book", make_answer(b"ok", request="r-2"), False, 502),
+        ("read", make_answer(b"ok", request="r-2"), True, 200),
+        ("book", make_answer(b"ok", sealed=False), False, 502),
+        ("book", make_answer(b"ok", headers=("Content-Encoding: gzip",)), False, 502),
+        ("book", b"\x00\x01garbage\r\n\r\n", False, 502),
+        ("read", b"\x00\x01garbage\r\n\r\n", True, 200),
+    ],
+    ids=[
+        "success",
+        "own failure",
+        "failure of a repeatable",
+        "failure of a non-repeatable",
+        "full, repeatable",
+        "full, non-repeatable",
+        "another endpoint",
+        "unmarked 503, non-repeatable",
+        "unmarked 429, non-repeatable",
+        "unmarked 503, repeatable",
+        "another request's answer",
+        "another request's answer, repeatable",
+        "no seal",
+        "encoded",
+        "no HTTP, non-repeatable",
+        "no HTTP, repeatable",
+    ],
+)
+def test_answers_of_endpoints(route, first, again, status):
+    harness = GatewayHarness()
+    caller = harness.call(route)
+    harness.accept().protocol.dataReceived(first)
+    second = harness.accept()
+    assert (second is not None) is again
+    if second is not None:
+        second.protocol.dataReceived(make_answer(b"ok"))
+    assert read_status(caller) == status
+    if status == 200:
+        assert read_body(caller) == b"ok" and b"seal-1" in caller.value()
+
+
+@pytest.mark.parametrize(
+    ("route", "error", "again"),
+    [
+        ("read", ConnectionLost(), True),
+        ("book", ConnectionLost(), False),
+        ("book", ConnectionDone(), False),
+    ],
+)
+@pytest.mark.parametrize("part", [b"", make_answer(b"o", length=5)], ids=["nothing", "a part"])
+def test_lost_connections(route, error, again, part):
+    harness = GatewayHarness()
+    caller = harness.call(route)
+    first = harness.accept()
+    first.protocol.dataReceived(part)
+    first.end(error)
+    second = harness.accept()
+    assert (second is not None) is again
+    if second is None:
+        assert read_status(caller) == 502
+
+
+@pytest.mark.parametrize(("error", "status"), [(ConnectionDone(), 200), (ConnectionLost(), 502)])
+def test_answer_that_is_framed_by_the_end_of_its_connection(error, status):
+    harness = GatewayHarness()
+    caller = harness.call("book")
+    engine = harness.accept()
+    head = make_answer(b"").replace(b"Content-Length: 0\r\n", b"")
+    engine.protocol.dataReceived(head + b"whole")
+    engine.end(error)
+    assert read_status(caller) == status
+
+
+def test_order_that_never_left_may_be_sent_again():
+    harness = GatewayHarness()
+    caller = harness.call("book")
+    harness.refuse_dial()
+    harness.accept().protocol.dataReceived(make_answer(b"ok"))
+    assert read_status(caller) == 200
+
+
+@pytest.mark.parametrize("extra", [b"HTTP/1.1 200 OK\r\n\r\n", b"junk"])
+def test_bytes_after_an_answer_end_the_connection(extra):
+    harness = GatewayHarness(endpoints=1)
+    harness.call()
+    engine = harness.accept()
+    engine.protocol.dataReceived(make_answer(b"ok") + extra)
+    assert engine.aborted
+    caller = harness.call(request="r-2")
+    harness.accept().protocol.dataReceived(make_answer(b"two", request="r-2"))
+    assert read_body(caller) == b"two"
+
+
+def test_late_answer_on_an_idle_connection_ends_it():
+    harness = GatewayHarness(endpoints=1)
+    harness.call()
+    engine = harness.accept()
+    engine.protocol.dataReceived(make_answer(b"ok"))
+    engine.protocol.dataReceived(make_answer(b"late"))
+    assert engine.aborted
+
+
+def test_non_idempotent_orders_use_no_kept_connection():
+    harness = GatewayHarness(endpoints=1)
+    harness.call("read")
+    harness.accept().protocol.dataReceived(make_answer(b"ok"))
+    harness.call("book", request="r-2")
+    assert harness.accept() is not None
+
+
+def open_stream(harness, route="talk", headers=()):
+    caller = harness.call(route, headers=headers)
+    engine = harness.accept()
+    engine.protocol.dataReceived(
+        make_answer(chunked=True, headers=("Content-Type: text/event-stream",))
+    )
+    return caller, engine
+
+
+@pytest.mark.parametrize("part", [b"", b"id: 3\nda"], ids=["between events", "within an event"])
+def test_resumed_stream_has_every_event_once(part):
+    harness = GatewayHarness()
+    caller, first = open_stream(harness)
+    first.protocol.dataReceived(make_chunk(make_event(1) + make_event(2) + part))
+    first.end(ConnectionLost())
+    second = harness.accept()
+    assert b"last-event-id: 2" in second.value().lower()
+    answer = make_answer(chunked=True) + make_chunk(make_event(3)) + make_chunk(b"")
+    second.protocol.dataReceived(answer)
+    assert read_chunks(caller) == make_event(1) + make_event(2) + make_event(3)
+    assert caller.value().endswith(b"0\r\n\r\n")
+
+
+def test_stream_that_ends_within_an_event_is_not_complete():
+    harness = GatewayHarness(endpoints=1)
+    caller, engine = open_stream(harness, "once")
+    engine.protocol.dataReceived(make_chunk(make_event(1) + b"id: 2") + make_chunk(b""))
+    assert caller.aborted and not caller.value().endswith(b"0\r\n\r\n")
+
+
+def test_stream_that_may_not_be_resumed_ends_as_broken():
+    harness = GatewayHarness()
+    caller, engine = open_stream(harness, "once")
+    engine.protocol.dataReceived(make_chunk(make_event(1)))
+    engine.end(ConnectionLost())
+    assert harness.accept() is None and caller.aborted
+
+
+def test_stream_goes_on_elsewhere_when_its_endpoint_is_silent():
+    harness = GatewayHarness()
+    caller, first = open_stream(harness)
+    first.protocol.dataReceived(make_chunk(make_event(1)))
+    harness.gateway._exchanges.copy().pop()._deadline.delay(10.0)
+    for _ in range(90):
+        harness.clock.advance(0.02)
+    assert first.aborted
+    assert b"last-event-id: 1" in harness.accept().value().lower()
+    assert not caller.aborted
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk"])
+def test_caller_that_leaves_ends_the_order(route):
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.call(route)
+    engine = harness.accept()
+    caller.end(ConnectionDone())
+    assert engine.aborted and not harness.gateway.unfinished
+
+
+@pytest.mark.parametrize(
+    ("sent", "status"), [(True, 504), (False, 503)], ids=["may have run", "not run"]
+)
+def test_route_timeout_is_answered_at_once(sent, status):
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.call("book")
+    if sent:
+        harness.accept()
+    harness.clock.advance(TIMEOUT + 0.01)
+    assert read_status(caller) == status
+
+
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        (dict(key="other"), 401),
+        (dict(route="nowhere"), 404),
+        (dict(headers=("X-Deadline-Ms: 0",)), 503),
+    ],
+)
+def test_refusals(change, status):
+    harness = GatewayHarness()
+    assert read_status(harness.call(**change)) == status
+    assert harness.accept() is None
+
+
+@pytest.mark.parametrize(("age", "status"), [(4.0, 0), (4.7, 503)], ids=["fresh", "old"])
+def test_keys_are_refused_while_the_catalogue_is_too_old(age, status):
+    harness = GatewayHarness(endpoints=1)
+    harness.clock.advance(age)
+    assert read_status(harness.call()) == status
+
+
+def test_without_a_catalogue_nothing_is_denied():
+    harness = GatewayHarness()
+    harness.known.catalogue = None
+    assert read_status(harness.call(key="other")) == 503
+
+
+@pytest.mark.parametrize(
+    ("data", "status"),
+    [
+        (b"GET / HTTP/1.1\r\nX-Long: " + b"a" * 600, 431),
+        (b"POST /read/x HTTP/1.1\r\nHost: host\r\nContent-Length: 99\r\n\r\n" + b"a" * 60, 413),
+        (b"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\n", 400),
+    ],
+    ids=["header", "body", "two lengths"],
+)
+def test_what_callers_may_send_is_bounded(data, status):
+    harness = GatewayHarness(limits=CallerLimits(header_bytes=512, body_bytes=50))
+    caller = harness.connect()
+    caller.protocol.dataReceived(data)
+    assert read_status(caller) == status and caller.disconnecting
+
+
+def test_slow_head_is_answered_with_a_timeout():
+    harness = GatewayHarness(limits=CallerLimits(header_timeout=3.0))
+    caller = harness.connect()
+    caller.protocol.dataReceived(b"POST /read/x HTTP/1.1\r\n")
+    harness.clock.advance(3.1)
+    assert read_status(caller) == 408
+
+
+def test_pipelined_requests_are_answered_in_order():
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.connect()
+    head = "GET /read/x HTTP/1.1\r\nHost: host\r\nX-Api-Key: key-1\r\nX-Attempt-Id: {}\r\n\r\n"
+    caller.protocol.dataReceived((head.format("r-1") + head.format("r-2")).encode())
+    engine = harness.accept()
+    engine.protocol.dataReceived(make_answer(b"one"))
+    engine.protocol.dataReceived(make_answer(b"two", request="r-2"))
+    assert caller.value().index(b"one") < caller.value().index(b"two")
+
+
+@pytest.mark.parametrize(("version", "asked"), [(1, 0), (2, 1)])
+def test_overdue_version_is_the_least_that_answers(version, asked):
+    harness = GatewayHarness(engines=0)
+    harness.add_endpoint("m-1", "llm", 180, {"m": version})
+    harness.known.named["m"] = [WantedVersion("m", 2, 0.0), WantedVersion("m", 3, 4.0)]
+    harness.gateway.refresh()
+    harness.clock.advance(7.1)
+    harness.confirm()
+    caller = harness.call("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
+    orders = 0
+    engine = harness.accept()
+    if engine is not None:
+        orders = engine.value().lower().count(b"x-expect-version: 2")
+    assert orders == asked
+    assert (read_status(caller) == 503) is (asked == 0)
