--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -360,12 +360,12 @@
 
 
 class _MetricsPage(Resource):
-    isLeaf = True  # noqa: N815  hook of twisted.web
+    isLeaf = True
 
     def __init__(self, metrics: Metrics) -> None:
         super().__init__()
         self._metrics = metrics
 
-    def render_GET(self, request: Any) -> bytes:  # noqa: N802  hook of twisted.web
+    def render_GET(self, request: Any) -> bytes:
         request.setHeader("Content-Type", "text/plain; version=0.0.4")
         return self._metrics.render_text().encode()
