--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -313,6 +313,7 @@
         service: ServiceName,
         regions: dict[str, str],
         link_mbps: float,
+        version_within: float,
     ) -> None:
         super().__init__(reactor, place, decoder, Roster(None), listens_for_entries=False)
         self._engine_address = engine_address
@@ -326,6 +327,7 @@
             Place(place.region, place.failure_domain),
             regions,
             link_mbps,
+            version_within,
             self.metrics,
             self.rng,
             self._tell_entries,
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -63,8 +63,9 @@
 TICK_SECONDS = 0.1
 REPORT_SECONDS = 0.25  # an engine's own report is free on its machine
 REPEAT_ORDER_SECONDS = 1.0  # an order without an answer may have been accepted; reports tell
-LINK_SHARE = 0.85  # of the link; the rest is left to answers that begin meanwhile
-PART_BYTES = 8192  # an answer that shares the link waits for one part, about 14 ms at 4.7 Mbit/s
+LINK_SHARE = 0.92  # of the link; the rest is left to the answers that share it
+PART_BYTES = 4096  # an answer that shares the link waits for one part, about 7 ms at 4.7 Mbit/s
+LOAD_AHEAD_SECONDS = 1.5  # before the time is up: entries stop 1 s before it, the rest ends slowly
 ASKS_AT_ONCE = 4  # chunks on their way delay the requests that share the link
 ORIGIN_COPIES = 2  # an origin's link carries about three copies while one passes an agent's link
 LEAST_SERVING_SHARE = 0.5  # of the replicas; they keep serving while the others load
@@ -97,6 +98,7 @@
         place: Place,
         regions: dict[str, str],
         link_mbps: float,
+        version_within: float,
         metrics: Metrics,
         rng: Random,
         tell: EngineNews,
@@ -112,6 +114,7 @@
         self._place = place
         self._regions = regions
         self._rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+        self._version_within = version_within
         self._metrics = metrics
         self._tell_entries = tell
         self._controller = WeightsController(self._own, rng, place, asks_at_once=ASKS_AT_ONCE)
@@ -280,7 +283,7 @@
         if serving == version or report.busy or not self._whole:
             return
         now = self.reactor.seconds()
-        if now - self._ordered_at < REPEAT_ORDER_SECONDS or not self._waves.may_load(now):
+        if now - self._ordered_at < REPEAT_ORDER_SECONDS or not self._may_load(now):
             return
         if not await self._check_staged(model, version) or self._wanted != (model, version):
             return
@@ -300,6 +303,19 @@
             self._plan.note_ordered(version)
             self._announce(serving or 0, True, report.born)
 
+    def _may_load(self, now: float) -> bool:
+        """Return whether this engine may load now: in its wave, or once waiting serves nobody.
+
+        When the version's time is up, entries send nothing to an engine with an older one.
+        """
+        if self._waves.may_load(now):
+            return True
+        model, version = self._wanted
+        for named in self._known.named.get(model, []):
+            if named.version == version:
+                return now >= named.learnt_at + self._version_within - LOAD_AHEAD_SECONDS
+        return False
+
     def _take_report(self, report: EngineReport) -> None:
         if self._report is not None and report.born != self._report.born:
             logger.info("engine restarted", extra={"born": report.born})
