--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -25,7 +25,7 @@
 from coltsfootshift.gateway.links import LinkPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, measure_interval
-from coltsfootshift.gateway.waiting import Waiting, WaitingQueue
+from coltsfootshift.gateway.waiting import Waiting, WaitingQueue, draw_return
 from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
@@ -330,7 +330,9 @@
         queue = self._queues.setdefault(exchange.service.name, WaitingQueue(self._rng))
         states = self._list_candidates(exchange, now)
         if not states:
-            exchange.refuse(NotRun("no endpoint serves the request", retry_after=0.5))
+            left = admission.ends_at - now
+            after = draw_return(left, float("inf"), self._rng)
+            exchange.refuse(NotRun("no endpoint serves the request", retry_after=after))
             return
         start = min(state.predict_start(exchange.size, now) for state in states)
         due = admission.arrived_at + route.aim - min(start, route.aim / 2)
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -10,11 +10,11 @@
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["Waiting", "WaitingQueue"]
+__all__ = ["Waiting", "WaitingQueue", "draw_return"]
 
 LATE_WAIT_SECONDS = 1.0  # how long a request that is late already may wait for a spare place
-LEAST_RETRY_AFTER_SECONDS = 0.25  # a return within one departure interval would be refused again
-RETRY_SPREAD = 0.5  # share of the return time that is drawn, so that callers return apart
+LEAST_RETURN_SECONDS = 1.0  # overload lasts longer than one departure; an earlier return meets it
+RETURN_SPREAD = 0.5  # share of the return time that is drawn, so that callers return apart
 MOST_RETRY_SHARE = 1 / 3  # callers honour return times up to this share of their time left
 
 
@@ -95,7 +95,19 @@
         return sum(1 for row in self._heap if row[-1].open and row[:3] <= own)
 
     def _refuse(self, reason: str, waiting: Waiting, backlog: float, now: float) -> NotRun:
-        base = max(LEAST_RETRY_AFTER_SECONDS, backlog)
-        drawn = base * (1.0 + RETRY_SPREAD * self._rng.random())
-        most = MOST_RETRY_SHARE * max(0.0, waiting.ends_at - now)
-        return NotRun(reason, retry_after=round(min(drawn, most), 3))
+        left = waiting.ends_at - now
+        return NotRun(reason, retry_after=draw_return(left, backlog, self._rng))
+
+
+def draw_return(time_left: float, expected: float, rng: Random) -> float:
+    """Return after how many seconds a refused caller should come back.
+
+    A request that was refused is late when it returns, whenever that is, and most callers return
+    once. So the time is that after which a place is expected, spread, within what callers honour.
+
+    >>> 1.3 <= draw_return(6.0, float("inf"), Random(1)) <= 2.0
+    True
+    """
+    most = MOST_RETRY_SHARE * max(0.0, time_left)
+    base = min(max(LEAST_RETURN_SECONDS, expected), most / (1.0 + RETURN_SPREAD))
+    return round(base * (1.0 + RETURN_SPREAD * rng.random()), 3)
