Count others' load longer, keep places from late requests, take back orders in time

Change: half-life 20 s; late requests fill 0.8 of the places; an order that has not begun is taken back 0.25 s before its version's time is up.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -54,6 +54,7 @@
         self.open = True
         self.head: AnswerHead | None = None
         self.heard_at = 0.0
+        self.begun = False
         self._exchange = exchange
 
     def answer_begun(self, head: AnswerHead) -> None:
@@ -148,6 +149,17 @@
         attempt.state.note_unreachable(self.request, now)
         self._retry(attempt, f"no event for {now - attempt.heard_at:.1f} s")
 
+    def leave_version(self, least: int, now: float) -> None:
+        """Take back an order that has not begun where its endpoint's version is too old by now."""
+        attempt = self._attempt
+        if attempt is None or attempt.begun:
+            return
+        version = attempt.state.record.versions.get(self.admission.head.model)
+        if version is None or version >= least:
+            return
+        self._cancel_order()
+        self._retry(attempt, f"version {version} may answer no more")
+
     def take_head(self, attempt: _Attempt, head: AnswerHead) -> None:
         """Take the head of an answer."""
         now = self._owner.reactor.seconds()
@@ -168,6 +180,7 @@
     def take_data(self, attempt: _Attempt, data: bytes) -> None:
         """Take bytes of an answer's body."""
         attempt.heard_at = self._owner.reactor.seconds()
+        attempt.begun = True
         head = attempt.head
         assert head is not None
         if self._streams and head.succeeded:
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -12,7 +12,8 @@
 
 __all__ = ["EndpointState", "Placement", "WorkSize"]
 
-OTHERS_FADE_SECONDS = 1.0  # a report of others' load older than this says little (docs/DESIGN.md)
+OTHERS_HALF_LIFE_SECONDS = 20.0  # replay of overload: 1 s lets each entry overfill the endpoints
+LATE_SHARE = 0.8  # of an endpoint's places that late requests may fill (replay of overload)
 FIRST_BLOCK_SECONDS = 0.2  # about one report lag of the endpoints
 MOST_BLOCK_SECONDS = 2.0  # bounds the delay until a recovered endpoint is tried again
 FULL_BLOCK_SECONDS = 0.05  # one pass of an engine
@@ -80,14 +81,19 @@
     def count_load(self, now: float) -> float:
         """Return how many requests are believed to be there."""
         age = now - self._others_at
-        fade = 0.5 ** (age / OTHERS_FADE_SECONDS)
+        fade = 0.5 ** (age / OTHERS_HALF_LIFE_SECONDS)
         return len(self._own) + self._others * fade
 
-    def has_room(self, now: float) -> bool:
-        """Return whether one more request would start without waiting for others there."""
+    def has_room(self, now: float, late: bool = False) -> bool:
+        """Return whether one more request would start without waiting for others there.
+
+        A request that is late already leaves some places to those that may still be in time.
+        """
         if now < self.blocked_until or (self._trial and self._own):
             return False
         most = self.slots if self.spec else self.slots * PLAIN_SLOTS_FACTOR
+        if late:
+            most *= LATE_SHARE
         return self.count_load(now) < most
 
     def predict_start(self, size: WorkSize, now: float) -> float:
@@ -179,13 +185,14 @@
         states: Iterable[EndpointState],
         size: WorkSize,
         tried: Collection[InstanceId],
+        late: bool,
         now: float,
     ) -> EndpointState | None:
         """Return the endpoint to send to now, or None where none has room."""
         best: EndpointState | None = None
         best_cost = 0.0
         for state in states:
-            if state.record.endpoint in tried or not state.has_room(now):
+            if state.record.endpoint in tried or not state.has_room(now, late):
                 continue
             cost = state.predict_start(size, now) + self._rng.random() * JITTER_SECONDS
             cost += state.failure_rate * FAILURE_PENALTY_SECONDS
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -35,7 +35,8 @@
 __all__ = ["Gateway", "GatewayBounds"]
 
 TICK_SECONDS = 0.02  # bounds how late a free place or a passed due time is seen
-VERSION_MARGIN_SECONDS = 1.0  # a request begins this long after it was sent on, at the latest
+VERSION_MARGIN_SECONDS = 1.0  # a request that is sent on later may begin after the version's time
+RECALL_MARGIN_SECONDS = 0.25  # an order taken back this long before has left the endpoint in time
 LATE_FACTOR = 0.9  # below this share of the route's longest deadline a caller has come back
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is left to entries not yet known
 REFUSE_AFTER_LEAVING_SECONDS = 2.0  # later requests could last beyond the time to stop
@@ -269,8 +270,10 @@
             found.append(state)
         return found
 
-    def _find_least_version(self, exchange: Exchange, now: float) -> int:
-        """Return the oldest version that may still answer a new request.
+    def _find_least_version(
+        self, exchange: Exchange, now: float, margin: float = VERSION_MARGIN_SECONDS
+    ) -> int:
+        """Return the oldest version that may still answer a request `margin` seconds from now.
 
         Each version named has a time of its own: one that is named while the one before is still
         being loaded does not put off the time of that one.
@@ -278,7 +281,7 @@
         bounds = self._bounds
         for wanted in reversed(self.known.named.get(exchange.admission.head.model, [])):
             within = bounds.contact_within if wanted.at_start else bounds.version_within
-            if now >= wanted.learnt_at + within - VERSION_MARGIN_SECONDS:
+            if now >= wanted.learnt_at + within - margin:
                 return wanted.version
         return 0
 
@@ -288,7 +291,9 @@
         if exchange.sends and len(tried) >= len(states):
             tried = set()
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
-        state = self._placement.choose(open_states, exchange.size, tried, now)
+        state = self._placement.choose(
+            open_states, exchange.size, tried, self._came_back(exchange), now
+        )
         if state is None:
             return False
         self._send(exchange, state, now)
@@ -373,6 +378,9 @@
                 waiting.item.refuse(refusal)
         for exchange in list(self._exchanges):
             exchange.check_silence(now)
+            if exchange.service.engine is not None:
+                least = self._find_least_version(exchange, now, RECALL_MARGIN_SECONDS)
+                exchange.leave_version(least, now)
         for pool in self._pools.values():
             pool.sweep()
         if self.known.drop_lapsed(now):
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -117,8 +117,8 @@
 class GatewayHarness:
     """Drives one gateway by the bytes of callers and endpoints, on a clock of its own."""
 
-    def __init__(self, endpoints=2, engines=0, limits=None, seed=1):
-        self.clock = MemoryReactorClock()
+    def __init__(self, endpoints=2, engines=0, limits=None, seed=1, clock=None):
+        self.clock = clock or MemoryReactorClock()
         self.known = Knowledge(NoDecoder())
         services = {
             ServiceName("s"): ServiceSpec(ServiceName("s"), 100),
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -318,3 +318,26 @@
         orders = engine.value().lower().count(b"x-expect-version: 2")
     assert orders == asked
     assert (read_status(caller) == 503) is (asked == 0)
+
+
+@pytest.mark.parametrize("begun", [False, True])
+def test_order_that_waits_is_taken_back_when_its_version_may_answer_no_more(begun):
+    harness = GatewayHarness(engines=0)
+    harness.add_endpoint("m-1", "llm", 180, {"m": 1})
+    harness.known.named["m"] = [WantedVersion("m", 2, 0.0)]
+    harness.gateway.refresh()
+    harness.clock.advance(6.5)
+    harness.confirm()
+    harness.call("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
+    engine = harness.accept()
+    if begun:
+        engine.protocol.dataReceived(make_answer(chunked=True) + make_chunk(make_event(1)))
+    harness.add_endpoint("m-2", "llm", 181, {"m": 2})
+    harness.gateway.refresh()
+    for _ in range(65):
+        harness.clock.advance(0.02)
+    assert engine.aborted is not begun
+    second = harness.accept()
+    assert (second is None) is begun
+    if second is not None:
+        assert b"x-expect-version: 2" in second.value().lower()
