Bound the logs, measure the error of predicted starts, read seeds again on SIGHUP

Lines go to standard output, at most 200 of a kind a second and 256 KB for a reader that stops; what is left out is counted and said.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -37,6 +37,10 @@
     def place_again(self, exchange: Exchange) -> bool:
         """Find another endpoint for an exchange now or later; False where none may be asked."""
 
+    @abstractmethod
+    def note_begun(self, predicted: float, taken: float) -> None:
+        """An answer has begun, `taken` seconds after its order; `predicted` was expected."""
+
     @abstractmethod
     def note_ended(self, exchange: Exchange, outcome: str) -> None:
         """An exchange has ended; called once."""
@@ -55,6 +59,8 @@
         self.head: AnswerHead | None = None
         self.heard_at = 0.0
         self.begun = False
+        self.sent_at = 0.0
+        self.predicted = 0.0
         self._exchange = exchange
 
     def answer_begun(self, head: AnswerHead) -> None:
@@ -122,7 +128,8 @@
         """Begin an order at an endpoint; `set_order` follows."""
         now = self._owner.reactor.seconds()
         attempt = _Attempt(self, state)
-        attempt.heard_at = now
+        attempt.heard_at = attempt.sent_at = now
+        attempt.predicted = state.predict_start(self.size, now)
         self._attempt = attempt
         self.tried.add(state.record.endpoint)
         self.runs += 1
@@ -180,7 +187,9 @@
     def take_data(self, attempt: _Attempt, data: bytes) -> None:
         """Take bytes of an answer's body."""
         attempt.heard_at = self._owner.reactor.seconds()
-        attempt.begun = True
+        if not attempt.begun:
+            attempt.begun = True
+            self._owner.note_begun(attempt.predicted, attempt.heard_at - attempt.sent_at)
         head = attempt.head
         assert head is not None
         if self._streams and head.succeeded:
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -95,6 +95,11 @@
         self._choose_peers()
         self._loop.start(TICK_SECONDS, now=True)
 
+    def set_seeds(self, seeds: list[Address]) -> None:
+        """Take other addresses at which entries may be found."""
+        self._seeds = seeds
+        self._choose_peers()
+
     def announce(self) -> None:
         """Tell all peers the own row and revisions now."""
         if self._roster.own is not None:
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -7,6 +7,8 @@
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
+from math import isfinite
 from random import Random
 from typing import Any, Protocol
 
@@ -15,11 +17,12 @@
 from twisted.web.server import Site
 
 from coltsfootshift.controllers.chunks import Place
+from coltsfootshift.errors import SettingsError
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_row
-from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, TableAnswer
+from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, Table, TableAnswer
 from coltsfootshift.gateway.rollout import RolloutTask
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import Gateway, GatewayBounds
@@ -32,7 +35,7 @@
     make_incarnation,
 )
 from coltsfootshift.keys import KeyRing
-from coltsfootshift.logs import get_logger, set_up_logs
+from coltsfootshift.logs import get_logger, set_up_bounded_logs
 from coltsfootshift.messages import EngineNotice, Hello
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address, StreamTiming
@@ -90,6 +93,7 @@
         self.metrics = Metrics()
         self.known = Knowledge(decoder)
         self.roster = roster
+        self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
         self.leaving_since: float | None = None
         self.started_ms = int(time.time() * MILLISECONDS)
         self._incarnation = make_incarnation()
@@ -103,6 +107,9 @@
             source=place.peers.host,
         )
         self.listener = StreamListener(self.context)
+        for table in Table:
+            self.metrics.add_gauge(f"{table.value}_age_seconds", partial(self._read_age, table))
+        self.metrics.add_gauge("entries_live", lambda: float(roster.count_live()))
         own = place.peers if listens_for_entries else None
         self.fleet = FleetTask(
             self.context, self.known, roster, list(place.seeds), own, self, self.rng
@@ -110,10 +117,10 @@
 
     def run(self) -> None:
         """Run until the process has left."""
-        set_up_logs("INFO", self.place.instance)
+        set_up_bounded_logs("INFO", self.place.instance)
         signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
         signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
-        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.note_reload))
+        signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
         self.reactor.callWhenRunning(self.start)
         self.reactor.run(installSignalHandlers=False)
 
@@ -136,9 +143,18 @@
         self.stop_new_work()
         self._check_drained()
 
-    def note_reload(self) -> None:
-        """A reload was asked for; nothing in the settings may change while a process runs."""
-        logger.info("reload asked for", extra={"changed": False})
+    def reload(self) -> None:
+        """Read the settings again; only the seeds may change while a process runs."""
+        if self.read_seeds is None:
+            return
+        try:
+            seeds = self.read_seeds()
+        except SettingsError as error:
+            logger.error("reload failed, settings kept", extra={"cause": str(error)})
+            return
+        self.fleet.set_seeds(list(seeds))
+        rows = [f"{seed.host}:{seed.port}" for seed in seeds]
+        logger.info("settings read again", extra={"seeds": rows})
 
     def roster_changed(self) -> None:
         """Nothing follows for a process that only listens."""
@@ -172,6 +188,10 @@
         logger.info("stopped", extra={"unfinished": self.count_unfinished(), "overrun": overrun})
         self.reactor.stop()
 
+    def _read_age(self, table: Table) -> float:
+        age = self.known.measure_age(table, self.reactor.seconds())
+        return round(age, 3) if isfinite(age) else -1.0
+
     def _make_hello(self, purpose: Purpose) -> Hello:
         return Hello(
             instance=self.place.instance,
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -185,6 +185,11 @@
             self._wait(exchange, now)
         return not exchange.ended
 
+    def note_begun(self, predicted: float, taken: float) -> None:
+        """Measure how well starts are predicted."""
+        self.metrics.observe("start_seconds", taken)
+        self.metrics.observe("start_error_seconds", abs(taken - predicted))
+
     def note_ended(self, exchange: Exchange, outcome: str) -> None:
         """Forget an exchange, and place the next one that waits."""
         now = self.reactor.seconds()
--- a/src/coltsfootshift/logs.py
+++ b/src/coltsfootshift/logs.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import logging
+import os
 import sys
+import time
+from collections import Counter
 
 from pythonjsonlogger.json import JsonFormatter
 from twisted.python import log as twisted_log
 
-__all__ = ["get_logger", "set_up_logs"]
+__all__ = ["BoundedHandler", "get_logger", "set_up_bounded_logs", "set_up_logs"]
 
 ROOT_LOGGER = "coltsfootshift"
+LINES_PER_SECOND = 200  # of one kind: two for each request at three times the target's load
+PENDING_BYTES = 256 * 1024  # of lines that a slow reader has not taken
 
 
 def get_logger(name: str) -> logging.Logger:
@@ -18,9 +23,76 @@
     return logging.getLogger(f"{ROOT_LOGGER}.{name}")
 
 
+class BoundedHandler(logging.Handler):
+    """Writes lines to a file descriptor without ever waiting for its reader.
+
+    Lines of one kind beyond `LINES_PER_SECOND`, and lines that a full pipe does not take, are
+    left out; how many is said in a line of its own within the next second that has room.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._second = 0
+        self._counts: Counter[str] = Counter()
+        self._left_out: Counter[str] = Counter()
+        self._pending = b""
+        os.set_blocking(descriptor, False)
+
+    def __repr__(self) -> str:
+        return f"BoundedHandler({self._descriptor!r})"
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write a line, or count it as left out."""
+        second = int(time.monotonic())
+        if second != self._second:
+            self._second = second
+            self._counts.clear()
+            self._report_left_out()
+        kind = str(record.msg)
+        self._counts[kind] += 1
+        if self._counts[kind] > LINES_PER_SECOND:
+            self._left_out[kind] += 1
+            return
+        self._write(kind, self.format(record).encode() + b"\n")
+
+    def _report_left_out(self) -> None:
+        if not self._left_out:
+            return
+        left_out, self._left_out = dict(self._left_out), Counter()
+        row = {"lines": left_out}
+        record = logging.makeLogRecord(
+            {"name": f"{ROOT_LOGGER}.logs", "levelname": "WARNING", "msg": "lines left out", **row}
+        )
+        self._write("lines left out", self.format(record).encode() + b"\n")
+
+    def _write(self, kind: str, line: bytes) -> None:
+        if len(self._pending) + len(line) > PENDING_BYTES:
+            self._left_out[kind] += 1
+            return
+        self._pending += line
+        try:
+            written = os.write(self._descriptor, self._pending)
+        except BlockingIOError:
+            return
+        except OSError:
+            # The reader is gone: nobody is left to read what is lost.
+            self._pending = b""
+            return
+        self._pending = self._pending[written:]
+
+
 def set_up_logs(level: str, instance: str) -> None:
     """Send log lines as JSON to standard error, each with the instance that wrote it."""
-    handler = logging.StreamHandler(sys.stderr)
+    _set_handler(logging.StreamHandler(sys.stderr), level, instance)
+
+
+def set_up_bounded_logs(level: str, instance: str) -> None:
+    """Send log lines as JSON to standard output, bounded and without waiting for its reader."""
+    _set_handler(BoundedHandler(sys.stdout.fileno()), level, instance)
+
+
+def _set_handler(handler: logging.Handler, level: str, instance: str) -> None:
     handler.setFormatter(
         JsonFormatter(
             "%(asctime)s %(levelname)s %(name)s %(message)s",
