Ask a peer again whose answer was lost; keep both streams of a peer

Cause: of two streams between two entries that dial each other one is closed; a difference asked for on it was never answered, and was not asked for again until the next revision, so an entry that the store refuses could stay without tables (seen once in two runs of test_entry_that_the_store_refuses_learns_from_another: not ready within 10 s). And the newer stream always replaced the older, against the registry's choice. Change: what was asked on a closed stream is forgotten, an unanswered question is repeated after a second, and a stream is replaced only by a newer start of its peer. With both taken out, test_difference_is_asked_for_again fails. Programs of the adapter are tested as real processes before stand-ins of store, engine and origin (tests/test_platform_processes.py).

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -31,6 +31,7 @@
 __all__ = ["FleetObserver", "FleetTask"]
 
 TICK_SECONDS = 0.5
+ASK_AGAIN_SECONDS = 1.0  # an answer of a peer takes a few round trips of milliseconds
 MOST_PEERS = 16  # beyond this many entries each keeps streams to the next on a hash ring
 FOLLOWED_ENTRIES = 2  # an agent learns from this many entries, so that one may die
 
@@ -79,9 +80,9 @@
         self._own_address = own_address
         self._observer = observer
         self._rng = rng
-        self._streams: dict[InstanceId, PeerStream] = {}
+        self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
-        self._asked: dict[tuple[InstanceId, Table], int] = {}
+        self._asked: dict[tuple[InstanceId, Table], tuple[int, float]] = {}
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
@@ -114,22 +115,29 @@
         self._broadcast(notice)
 
     def stream_opened(self, stream: PeerStream) -> None:
-        """Greet a peer with the roster and the revisions held."""
-        held = self._streams.get(stream.peer_id)
-        self._streams[stream.peer_id] = stream
-        if held is not None:
-            held.abort("replaced by a newer stream")
+        """Greet a peer; two may be open for a while, where both ends have dialled."""
+        peer = stream.peer_id
+        for held in list(self._streams.get(peer, [])):
+            if held.peer_incarnation != stream.peer_incarnation:
+                held.abort("replaced by a stream of a newer incarnation")
+        self._streams.setdefault(peer, []).append(stream)
         stream.set_needed(True)
-        logger.info("peer connected", extra={"peer": stream.peer_id})
+        logger.info("peer connected", extra={"peer": peer})
         if self._roster.own is not None:
             stream.send(RosterTold(self._roster.list_rows()))
             stream.send(self._make_state())
 
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
-        """Forget the stream."""
-        if self._streams.get(stream.peer_id) is stream:
-            del self._streams[stream.peer_id]
-            logger.info("peer lost", extra={"peer": stream.peer_id, "cause": reason})
+        """Forget the stream, and what was asked on it."""
+        peer = stream.peer_id
+        for table in Table:
+            self._asked.pop((peer, table), None)
+        held = self._streams.get(peer, [])
+        if stream in held:
+            held.remove(stream)
+        if not held:
+            self._streams.pop(peer, None)
+            logger.info("peer lost", extra={"peer": peer, "cause": reason})
 
     def stream_received(self, stream: PeerStream, message: Message) -> None:
         """Take a message of a peer."""
@@ -196,10 +204,15 @@
                 self._ask(stream, table, row.revision)
 
     def _ask(self, stream: PeerStream, table: Table, revision: int) -> None:
-        """Ask for a difference, once for each revision that the peer tells of."""
-        if self._asked.get((stream.peer_id, table)) == revision:
+        """Ask for a difference, once for each revision that the peer tells of.
+
+        An answer that does not come, for whatever reason, is asked for again.
+        """
+        now = self._context.reactor.seconds()
+        asked, at = self._asked.get((stream.peer_id, table), (0, 0.0))
+        if asked == revision and now - at < ASK_AGAIN_SECONDS:
             return
-        self._asked[stream.peer_id, table] = revision
+        self._asked[stream.peer_id, table] = (revision, now)
         stream.send(KnowledgeAsked(table.value, self._known.get_revision(table)))
 
     def _answer(self, stream: PeerStream, message: KnowledgeAsked) -> None:
@@ -244,8 +257,8 @@
         return KnowledgeStated(rows, now)
 
     def _broadcast(self, message: Message) -> None:
-        for stream in list(self._streams.values()):
-            stream.send(message)
+        for streams in list(self._streams.values()):
+            streams[-1].send(message)
 
 
 def make_row(
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -156,6 +156,9 @@
         rows = [f"{seed.host}:{seed.port}" for seed in seeds]
         logger.info("settings read again", extra={"seeds": rows})
 
+    def stop_role(self) -> None:
+        """Stop what would report the end of its connections as a fault."""
+
     def roster_changed(self) -> None:
         """Nothing follows for a process that only listens."""
 
@@ -185,6 +188,7 @@
         if not overrun and not self.may_stop(left_for):
             self.reactor.callLater(CHECK_SECONDS, self._check_drained)
             return
+        self.stop_role()
         logger.info("stopped", extra={"unfinished": self.count_unfinished(), "overrun": overrun})
         self.reactor.stop()
 
@@ -292,6 +296,11 @@
         self._tell_ready()
         self.reactor.callLater(ACCEPT_AFTER_LEAVING_SECONDS, self._stop_listening)
 
+    def stop_role(self) -> None:
+        """Read the store no more."""
+        if self.source is not None:
+            self.source.stop()
+
     def count_unfinished(self) -> int:
         """Return how many calls have no final answer yet."""
         return self.gateway.unfinished
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,422 @@
+"""Small stand-ins of the users' platform: store, engine, origin, and processes of the adapter."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from dataclasses import dataclass, field
+from http.client import HTTPConnection
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from pathlib import Path
+from urllib.parse import parse_qs, urlsplit
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = "127.0.0.1"
+CHUNKS = 8
+CHUNK_BYTES = 4096
+MODEL = "model-1"
+ENGINE_SERVICE = "llm"
+PLAIN_SERVICE = "ledger"
+KEY = "key-1"
+
+
+def find_ports(count: int) -> list[int]:
+    """Return ports that nothing listens on now."""
+    sockets = [socket.socket() for _ in range(count)]
+    for item in sockets:
+        item.bind((HOST, 0))
+    ports = [item.getsockname()[1] for item in sockets]
+    for item in sockets:
+        item.close()
+    return ports
+
+
+def make_chunk(version: int, index: int) -> bytes:
+    """Return the bytes of a chunk of a version."""
+    seed = hashlib.sha256(f"{version}/{index}".encode()).digest()
+    return (seed * (CHUNK_BYTES // len(seed) + 1))[:CHUNK_BYTES]
+
+
+class QuietServer(ThreadingHTTPServer):
+    """Ends a connection whose other end is gone without a word."""
+
+    def handle_error(self, request, client_address):
+        if not isinstance(sys.exc_info()[1], OSError):
+            super().handle_error(request, client_address)
+
+
+class StandIn:
+    """An HTTP server in a thread; `handle` answers, `down` refuses with a status."""
+
+    def __init__(self, port: int = 0) -> None:
+        standin = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def _run(self):
+                parts = urlsplit(self.path)
+                query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+                length = int(self.headers.get("Content-Length") or 0)
+                body = self.rfile.read(length)
+                status, data, headers = standin.handle(
+                    self.command, parts.path, query, body, self.headers
+                )
+                self.send_response(status)
+                for name, value in headers.items():
+                    self.send_header(name, value)
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+            do_GET = do_POST = do_PUT = _run
+
+        self.server = QuietServer((HOST, port), Handler)
+        self.server.daemon_threads = True
+        self.port = self.server.server_address[1]
+        self.address = f"{HOST}:{self.port}"
+        threading.Thread(target=self.server.serve_forever, daemon=True).start()
+
+    def handle(self, method, path, query, body, headers):
+        raise NotImplementedError
+
+    def close(self) -> None:
+        self.server.shutdown()
+        self.server.server_close()
+
+
+class StoreStandIn(StandIn):
+    """The platform's store: items with revisions, ranges in pages, watches that wait."""
+
+    def __init__(self) -> None:
+        self.items: dict[str, dict] = {}
+        self.events: list[dict] = []
+        self.revision = 0
+        self.first_event = 0
+        self.down = 0
+        self.calls = 0
+        self.changed = threading.Condition()
+        super().__init__()
+
+    def put(self, key: str, value) -> None:
+        """Write an item, or remove it with None."""
+        with self.changed:
+            self.revision += 1
+            if value is None:
+                self.items.pop(key, None)
+                self.events.append({"key": key, "rev": self.revision, "deleted": True})
+            else:
+                data = value if isinstance(value, bytes) else json.dumps(value).encode()
+                text = base64.b64encode(data).decode()
+                self.items[key] = {"key": key, "value": text, "rev": self.revision, "lease": 0}
+                self.events.append(self.items[key])
+            self.changed.notify_all()
+
+    def forget_history(self) -> None:
+        """Drop the history, as the store may at any time."""
+        with self.changed:
+            self.first_event = self.revision
+            self.events = []
+
+    def handle(self, method, path, query, body, headers):
+        self.calls += 1
+        if self.down:
+            return self.down, b"", {}
+        fields = self._range(query) if path == "/api/kv-range" else self._watch(query)
+        if fields is None:
+            return 410, b"", {}
+        return 200, json.dumps(fields).encode(), {"Content-Type": "application/json"}
+
+    def _range(self, query):
+        with self.changed:
+            keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
+            rest = [key for key in keys if key > query.get("after", "")]
+            items = [self.items[key] for key in rest[:2]]
+            return {"items": items, "has_more": len(rest) > 2, "at": self.revision}
+
+    def _watch(self, query):
+        after = int(query["after"])
+        until = time.monotonic() + int(query["wait_ms"]) / 1000
+        with self.changed:
+            while not self.down:
+                if after < self.first_event:
+                    return None
+                events = [
+                    item
+                    for item in self.events
+                    if item["rev"] > after and item["key"].startswith(query["prefix"])
+                ]
+                left = until - time.monotonic()
+                if events or left <= 0:
+                    return {"events": events, "at": self.revision}
+                self.changed.wait(min(left, 0.1))
+        return {"events": [], "at": after}
+
+
+class EndpointStandIn(StandIn):
+    """A plain service: answers with its name, sealed; `delay` seconds late."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.delay = 0.0
+        self.orders: list[dict] = []
+        super().__init__()
+
+    def handle(self, method, path, query, body, headers):
+        row = {name.lower(): value for name, value in headers.items()}
+        if row.get("x-expect-instance") != self.name:
+            return 421, b"", {"X-Instance-Id": self.name}
+        self.orders.append(row)
+        time.sleep(self.delay)
+        answer = {"X-Attempt-Id": row["x-attempt-id"], "X-Response-Seal": "seal"}
+        return 200, f"{self.name} {method} {path}".encode() + body, answer
+
+
+class EngineStandIn(StandIn):
+    """A model engine: staging memory, orders, report."""
+
+    def __init__(self, staged: int = 0) -> None:
+        self.staged: dict[int, bytes] = {}
+        self.version = staged
+        self.orders: list[dict] = []
+        self.loaded: dict[int, bytes] = {}
+        self.rot_next = False
+        self.born = int(time.time() * 1000)
+        for index in range(CHUNKS if staged else 0):
+            self.staged[index] = make_chunk(staged, index)
+        super().__init__()
+
+    def handle(self, method, path, query, body, headers):
+        index = int(query["num"]) if "num" in query else -1
+        if path == "/api/report":
+            return 200, json.dumps(self.describe()).encode(), {}
+        if path == f"/api/stage-put/{MODEL}":
+            self.staged[index] = body
+            if self.rot_next and len(self.staged) == CHUNKS:
+                self.rot_next = False
+                self.staged[0] = b"spoilt"
+            return 200, b"", {}
+        if path == f"/api/stage-get/{MODEL}" and index < 0:
+            return 200, json.dumps({"held": sorted(self.staged)}).encode(), {}
+        if path == f"/api/stage-get/{MODEL}":
+            data = self.staged.get(index)
+            return (404, b"", {}) if data is None else (200, data, {})
+        if path == "/api/order":
+            return self._order(json.loads(body))
+        return 404, b"", {}
+
+    def describe(self) -> dict:
+        models = [{"name": MODEL, "version": self.version, "adapters": []}] if self.version else []
+        return {
+            "phase": "unified",
+            "models": models,
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued": 0,
+            "running": 0,
+            "born": self.born,
+        }
+
+    def _order(self, order: dict):
+        if order["expect"] != len(self.orders):
+            return 409, b"", {}
+        self.orders.append(order)
+        self.loaded = dict(self.staged)
+        self.version = order["version"]
+        return 202, b"", {}
+
+
+class OriginStandIn(StandIn):
+    """The origin of weights; the first `corrupt` chunks are sent with wrong bytes."""
+
+    def __init__(self, corrupt: int = 0) -> None:
+        self.sent = 0
+        self._corrupt = corrupt
+        super().__init__()
+
+    def handle(self, method, path, query, body, headers):
+        version = int(query["version"])
+        if path.startswith("/api/manifest/"):
+            digests = [
+                hashlib.sha256(make_chunk(version, index)).hexdigest() for index in range(CHUNKS)
+            ]
+            return 200, json.dumps({"digests": digests}).encode(), {}
+        self.sent += 1
+        data = make_chunk(version, int(query["num"]))
+        if self._corrupt:
+            self._corrupt -= 1
+            data = data[:-1] + b"?"
+        return 200, data, {}
+
+
+def make_config(version: int, origin: str, routes=("book",), keys=(KEY,)) -> dict:
+    """Return the operator's item that names routes, services and keys."""
+    rows = []
+    for name in routes:
+        rows.append(
+            {
+                "name": name,
+                "host": "desk.example",
+                "prefix": f"/{name}/",
+                "kind": "non_idempotent",
+                "timeout_ms": 3000,
+                "slo_ms": 300,
+                "priority": 1,
+                "service": PLAIN_SERVICE,
+                "attempts": 1,
+                "anonymous": False,
+            }
+        )
+    engine = {
+        "slots": 16,
+        "step_ms": 9.0,
+        "per_seq_ms": 0.04,
+        "read_per_s": 19100.0,
+        "stride": 5,
+        "chunks": CHUNKS,
+        "chunk_bytes": CHUNK_BYTES,
+        "usual": {"prompt": 900, "answer": 90},
+        "models": [{"name": MODEL}],
+    }
+    services = [
+        {"name": PLAIN_SERVICE, "health_path": "/health", "max_conns": 50},
+        {"name": ENGINE_SERVICE, "health_path": "/health", "max_conns": 50, "engine": engine},
+        {"name": "weights", "origin": origin, "link_mbps": 15.0, "max_conns": 48},
+    ]
+    tenants = [{"name": "team-1", "keys": list(keys), "priority": 1}]
+    return {"version": version, "routes": rows, "services": services, "tenants": tenants}
+
+
+def make_record(service: str, address: str, **fields) -> dict:
+    """Return an endpoint's item."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "a",
+        "version": "v1",
+        "slots": 6,
+        "state": "ready",
+        "cold_ms": 0,
+        "sequence": 1,
+        **fields,
+    }
+
+
+def write_settings(path: Path, fields: dict) -> Path:
+    """Write a settings file in the platform's format."""
+    lines, tables = [], []
+    for name, value in fields.items():
+        if isinstance(value, dict):
+            tables.append(f"[{name}]")
+            tables += [f"{key} = {json.dumps(item)}" for key, item in value.items()]
+        else:
+            lines.append(f"{name} = {json.dumps(value)}")
+    path.write_text("\n".join(lines + tables) + "\n", "utf-8")
+    return path
+
+
+@dataclass
+class Program:
+    """A process of the adapter, ended at the end of the test."""
+
+    role: str
+    settings: Path
+    output: Path
+    process: subprocess.Popen = field(init=False)
+
+    def __post_init__(self) -> None:
+        env = {"PATH": os.environ["PATH"], "COLTSFOOTSHIFT_BOOT": str(self.settings)}
+        with self.output.open("wb") as output:
+            self.process = subprocess.Popen(
+                [sys.executable, str(ROOT / "platform" / "serve.py"), self.role],
+                env=env,
+                cwd=ROOT,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def read_lines(self) -> list[dict]:
+        rows = []
+        for line in self.output.read_text("utf-8").splitlines():
+            if line.startswith("{"):
+                rows.append(json.loads(line))
+        return rows
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def end(self) -> None:
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(10)
+
+
+BOUNDS = {
+    "contact_ms": 3000,
+    "revoke_ms": 3000,
+    "version_ms": 8000,
+    "grace_s": 8,
+    "budget_ratio": 0.2,
+    "budget_slack": 100,
+    "budget_window_s": 10,
+    "ttl_max_s": 5,
+}
+
+
+def make_settings(name: str, store: str, ports: list[int], seeds: list[str], **fields) -> dict:
+    """Return the settings of a process; `ports` are used in order for what it listens on."""
+    listen = {}
+    for purpose, port in zip(("front", "ready", "control", "directory"), ports, strict=False):
+        listen[purpose] = f"{HOST}:{port}"
+    return {
+        "node": name,
+        "role": "r",
+        "ip": HOST,
+        "zone": "a",
+        "region": "north",
+        "seeds": seeds,
+        "port_range": ports[-2:],
+        "zones": {"a": "north"},
+        "listen": listen,
+        "limits": {"link_mbps": 80.0},
+        "bounds": BOUNDS,
+        "platform": {"address": store},
+        **fields,
+    }
+
+
+def ask(port: int, method: str, path: str, headers=None, body=None) -> tuple[int, bytes, dict]:
+    """Send one request on a new connection."""
+    connection = HTTPConnection(HOST, port, timeout=10)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return response.status, response.read(), found
+    finally:
+        connection.close()
+
+
+def wait_for(check, seconds: float = 10.0):
+    """Return the first true value of `check`; fails after a time."""
+    until = time.monotonic() + seconds
+    while time.monotonic() < until:
+        try:
+            value = check()
+        except OSError:
+            value = None
+        if value:
+            return value
+        time.sleep(0.05)
+    raise AssertionError(f"not reached within {seconds} s")
--- /dev/null
+++ b/tests/test_gateway_fleet.py
@@ -0,0 +1,159 @@
+"""Entries tell each other who they are and what they know."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from gateway_harness import NoDecoder
+from twisted.internet.task import Clock
+
+from coltsfootshift.gateway.fleet import ASK_AGAIN_SECONDS, FleetObserver, FleetTask
+from coltsfootshift.gateway.knowledge import Item, Knowledge, Table, TableAnswer
+from coltsfootshift.gateway.roster import SILENT_SECONDS, Roster
+from coltsfootshift.ids import InstanceId
+from coltsfootshift.messages import (
+    EntryRow,
+    KnowledgeAsked,
+    KnowledgeItem,
+    KnowledgeRow,
+    KnowledgeStated,
+    KnowledgeTold,
+)
+from coltsfootshift.settings import Address
+
+
+class Observer(FleetObserver):
+    def knowledge_changed(self):
+        pass
+
+    def roster_changed(self):
+        pass
+
+    def engine_told(self, notice):
+        pass
+
+
+class Stream:
+    """A peer's stream that keeps what is sent on it."""
+
+    peer_id = InstanceId("entry-2")
+    transit_delay = 0.0
+
+    def __init__(self, incarnation="1"):
+        self.sent = []
+        self.aborted = False
+        self.peer_incarnation = incarnation
+
+    def send(self, message):
+        self.sent.append(message)
+
+    def set_needed(self, needed):
+        pass
+
+    def abort(self, reason):
+        self.aborted = True
+
+    def count_asked(self):
+        return sum(isinstance(message, KnowledgeAsked) for message in self.sent)
+
+
+class Context:
+    def __init__(self, clock):
+        self.reactor = clock
+
+
+def make_row(name="entry-1", sequence=1, ready=True, leaving=False, domain="a"):
+    return EntryRow(name, sequence, "10.0.0.1", 1, 2, "north", domain, ready, leaving)
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def fleet(clock):
+    known = Knowledge(NoDecoder())
+    roster = Roster(make_row())
+    address = Address("10.0.0.1", 1)
+    return FleetTask(Context(clock), known, roster, [], address, Observer(), Random(1))
+
+
+STATED = KnowledgeStated([KnowledgeRow("operator", 5, 0.1)], 0.0)
+
+
+@pytest.mark.parametrize("lost", ["stream", "answer"])
+def test_difference_is_asked_for_again_when_no_answer_came(fleet, clock, lost):
+    first = Stream()
+    fleet.stream_opened(first)
+    fleet.stream_received(first, STATED)
+    fleet.stream_received(first, STATED)
+    assert first.count_asked() == 1
+    second = first
+    if lost == "stream":
+        fleet.stream_closed(first, "lost")
+        second = Stream()
+        fleet.stream_opened(second)
+    else:
+        clock.advance(ASK_AGAIN_SECONDS)
+    fleet.stream_received(second, STATED)
+    assert second.count_asked() == (1 if lost == "stream" else 2)
+
+
+@pytest.mark.parametrize(("incarnation", "aborted"), [("1", False), ("2", True)])
+def test_second_stream_of_a_peer_replaces_only_an_older_start(fleet, incarnation, aborted):
+    first, second = Stream(), Stream(incarnation)
+    fleet.stream_opened(first)
+    fleet.stream_opened(second)
+    assert first.aborted is aborted
+    fleet.stream_closed(second, "lost")
+    fleet.announce()
+    assert aborted or len(first.sent) == 4
+
+
+@pytest.mark.parametrize(("waited", "age"), [(0.0, 0.5), (6.0, 6.5)], ids=["prompt", "late"])
+def test_confirmation_that_waited_on_its_way_counts_as_old(fleet, clock, waited, age):
+    stream = Stream()
+    fleet.stream_opened(stream)
+    clock.advance(20.0)
+    stream.transit_delay = waited
+    item = KnowledgeItem("k", 5, b"{}")
+    told = KnowledgeTold("operator", 5, 0.5, [item], ["k"], 0.0)
+    fleet.stream_received(stream, told)
+    assert fleet._known.measure_age(Table.OPERATOR, clock.seconds()) == pytest.approx(age)
+
+
+def test_answer_holds_what_changed_and_all_keys(fleet):
+    items = (Item("a", 1, b"1"), Item("b", 4, b"2"))
+    fleet._known.apply(TableAnswer(Table.OPERATOR, items, 4, True, 0.0), 0.0)
+    stream = Stream()
+    fleet.stream_opened(stream)
+    fleet.stream_received(stream, KnowledgeAsked("operator", 2))
+    told = stream.sent[-1]
+    assert [item.key for item in told.items] == ["b"] and told.keys == ["a", "b"]
+
+
+@pytest.mark.parametrize(
+    ("rows", "expected"),
+    [
+        ([make_row("x", 1)], ["entry-1", "x"]),
+        ([make_row("x", 1), make_row("x", 2, leaving=True)], ["entry-1"]),
+        ([make_row("x", 2, ready=False), make_row("x", 1)], ["entry-1"]),
+    ],
+    ids=["live", "leaving", "an older row comes late"],
+)
+def test_directory_names_entries_that_take_callers(rows, expected):
+    roster = Roster(make_row())
+    for row in rows:
+        roster.take([row], 1.0)
+    listed = [r.instance for r in roster.list_rows() if r.ready and not r.leaving]
+    assert listed == expected
+    assert len(roster.list_callers_addresses("a", "north", Random(1))) == len(expected)
+
+
+def test_silent_entry_is_forgotten():
+    roster = Roster(make_row())
+    roster.take([make_row("x", 1)], 1.0)
+    assert roster.forget_silent(1.0 + SILENT_SECONDS) == []
+    assert roster.forget_silent(1.1 + SILENT_SECONDS) == ["x"]
--- /dev/null
+++ b/tests/test_platform_processes.py
@@ -0,0 +1,246 @@
+"""The adapter's programs as real processes before stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import json
+import threading
+import time
+
+import pytest
+from platform_standins import (
+    CHUNKS,
+    ENGINE_SERVICE,
+    HOST,
+    KEY,
+    MODEL,
+    PLAIN_SERVICE,
+    EndpointStandIn,
+    EngineStandIn,
+    OriginStandIn,
+    Program,
+    StoreStandIn,
+    ask,
+    find_ports,
+    make_chunk,
+    make_config,
+    make_record,
+    make_settings,
+    wait_for,
+    write_settings,
+)
+
+CONFIG_SECONDS = 2.0
+REVOKE_SECONDS = 3.0
+
+
+class Fleet:
+    """A store, a plain endpoint, and the processes that a test starts."""
+
+    def __init__(self, folder):
+        self.folder = folder
+        self.store = StoreStandIn()
+        self.origin = OriginStandIn()
+        self.endpoint = EndpointStandIn("e-1")
+        self.programs = []
+        self.store.put("op/config", make_config(3, self.origin.address))
+        self.store.put("servers/e-1", make_record(PLAIN_SERVICE, self.endpoint.address))
+
+    def start_entry(self, name="entry-1", store=None, seeds=()):
+        ports = find_ports(6)
+        fields = make_settings(name, store or self.store.address, ports, list(seeds))
+        self.start(name, "entry", fields)
+        return ports
+
+    def start(self, name, role, fields):
+        settings = write_settings(self.folder / f"{name}.toml", fields)
+        program = Program(role, settings, self.folder / f"{name}.log")
+        self.programs.append(program)
+        return program
+
+    def close(self):
+        for program in self.programs:
+            program.end()
+        for standin in (self.store, self.endpoint, self.origin):
+            standin.close()
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    made = Fleet(tmp_path)
+    yield made
+    made.close()
+
+
+def book(ports, key=KEY, route="book", request="r-1"):
+    headers = {"Host": "desk.example", "X-Attempt-Id": request, "X-Api-Key": key}
+    return ask(ports[0], "POST", f"/{route}/1", headers, b"tent")
+
+
+def is_ready(ports):
+    return ask(ports[1], "GET", "/api/ready")[0] == 200
+
+
+def test_entry_serves_callers_by_the_catalogue(fleet):
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    status, body, headers = book(ports)
+    assert (status, body) == (200, b"e-1 POST /book/1tent")
+    assert headers["x-response-seal"] == "seal"
+    assert fleet.endpoint.orders[0]["x-tenant"] == "team-1"
+    status, body, _ = ask(ports[3], "GET", "/api/resolve?name=x&region=north&zone=a")
+    assert json.loads(body)["addresses"] == [f"{HOST}:{ports[0]}"]
+    assert book(ports, key="other")[0] == 401
+    assert book(ports, route="new")[0] == 404
+    config = make_config(7, fleet.origin.address, routes=("book", "new"))
+    fleet.store.put("op/config", config)
+    wait_for(lambda: book(ports, route="new")[0] == 200, CONFIG_SECONDS)
+
+
+@pytest.mark.parametrize("lost", ["history", "connection"])
+def test_changes_arrive_after_the_store_was_lost(fleet, lost):
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    if lost == "history":
+        fleet.store.forget_history()
+    else:
+        fleet.store.down = 503
+        time.sleep(0.5)
+    fleet.store.put("op/config", make_config(7, fleet.origin.address, keys=("key-2",)))
+    fleet.store.down = 0
+    wait_for(lambda: book(ports)[0] == 401, REVOKE_SECONDS)
+    assert book(ports, key="key-2")[0] == 200
+
+
+def test_keys_are_refused_once_the_store_is_silent_for_too_long(fleet):
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    fleet.store.down = 503
+    lost_at = time.monotonic()
+    wait_for(lambda: book(ports)[0] == 503, REVOKE_SECONDS + 1.0)
+    assert time.monotonic() - lost_at <= REVOKE_SECONDS
+    fleet.store.down = 0
+    wait_for(lambda: book(ports)[0] == 200)
+
+
+def test_entry_that_the_store_refuses_learns_from_another(fleet):
+    first = fleet.start_entry("entry-1")
+    wait_for(lambda: is_ready(first))
+    refusing = StoreStandIn()
+    refusing.down = 429
+    second = fleet.start_entry("entry-2", refusing.address, [f"{HOST}:{first[2]}"])
+    wait_for(lambda: is_ready(second))
+    assert book(second)[0] == 200
+    time.sleep(REVOKE_SECONDS + 0.5)
+    assert book(second)[0] == 200
+    fleet.store.put("op/config", make_config(9, fleet.origin.address, keys=("key-2",)))
+    wait_for(lambda: book(second)[0] == 401, CONFIG_SECONDS)
+    for ports in (first, second):
+        body = ask(ports[3], "GET", "/api/resolve?name=x&region=north&zone=a")[1]
+        assert len(json.loads(body)["addresses"]) == 2
+    refusing.close()
+
+
+def test_leaving_entry_finishes_its_requests(fleet):
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    fleet.endpoint.delay = 1.0
+    answers = []
+    thread = threading.Thread(target=lambda: answers.append(book(ports)))
+    thread.start()
+    wait_for(lambda: fleet.endpoint.orders)
+    fleet.programs[0].terminate()
+    wait_for(lambda: ask(ports[1], "GET", "/api/ready")[0] == 503, 1.0)
+    thread.join(5)
+    assert answers[0][0] == 200 and answers[0][2]["connection"] == "close"
+    assert fleet.programs[0].process.wait(8) == 0
+    outcomes = [row["message"] for row in fleet.programs[0].read_lines()]
+    assert outcomes[0] == "started" and outcomes[-1] == "stopped"
+
+
+def test_request_can_be_followed_in_the_log(fleet):
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    book(ports, request="r-77")
+    rows = wait_for(
+        lambda: [r for r in fleet.programs[0].read_lines() if r.get("request") == "r-77"][1:]
+        and [r for r in fleet.programs[0].read_lines() if r.get("request") == "r-77"]
+    )
+    assert [row["message"] for row in rows] == ["request placed", "request ended"]
+    assert rows[0]["endpoint"] == "e-1" and rows[1]["outcome"] == "status 200"
+
+
+def start_agents(fleet, engines, corrupt=0):
+    """Start an entry, and an agent on a loopback address of its own for each engine."""
+    fleet.origin.close()
+    fleet.origin = OriginStandIn(corrupt)
+    fleet.store.put("op/config", make_config(4, fleet.origin.address))
+    entry = fleet.start_entry()
+    wait_for(lambda: is_ready(entry))
+    port = find_ports(1)[0]
+    for number, engine in enumerate(engines):
+        host = f"127.0.1.{number + 1}"
+        record = make_record(ENGINE_SERVICE, f"{host}:{engine.port}", models=[])
+        fleet.store.put(f"servers/m-{number}", record)
+        fields = make_settings(
+            f"agent-{number}",
+            fleet.store.address,
+            [port, port + 1],
+            [f"{HOST}:{entry[2]}"],
+            app=engine.address,
+            service=ENGINE_SERVICE,
+        )
+        fields["ip"] = host
+        fields["listen"] = {}
+        fleet.start(f"agent-{number}", "agent", fields)
+    return entry
+
+
+@pytest.mark.parametrize("corrupt", [0, 3], ids=["sound origin", "corrupt origin"])
+def test_version_reaches_all_engines_whole(fleet, corrupt):
+    engines = [EngineStandIn(staged=1), EngineStandIn(staged=1), EngineStandIn()]
+    start_agents(fleet, engines, corrupt)
+    wait_for(lambda: engines[2].version == 1, 20.0)
+    assert engines[0].orders == [] and engines[1].orders == []
+    fleet.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": 2})
+    wait_for(lambda: all(engine.version == 2 for engine in engines), 20.0)
+    for engine in engines:
+        assert engine.loaded == {index: make_chunk(2, index) for index in range(CHUNKS)}
+        assert engine.orders[-1]["fencing_token"] == 2
+    assert fleet.origin.sent <= 3 * CHUNKS + corrupt
+
+
+def test_chunk_that_rots_before_the_order_is_staged_again(fleet):
+    engines = [EngineStandIn(staged=1)]
+    start_agents(fleet, engines)
+    engines[0].rot_next = True
+    fleet.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": 2})
+    wait_for(lambda: engines[0].version == 2, 20.0)
+    assert engines[0].loaded == {index: make_chunk(2, index) for index in range(CHUNKS)}
+
+
+def test_engine_that_restarts_empty_is_filled_again(fleet):
+    engines = [EngineStandIn(staged=1)]
+    start_agents(fleet, engines)
+    wait_for(lambda: fleet.store.calls > 4)
+    time.sleep(1.0)
+    engines[0].staged, engines[0].version, engines[0].orders = {}, 0, []
+    engines[0].born += 5000
+    wait_for(lambda: engines[0].version == 1, 20.0)
+    assert engines[0].loaded == {index: make_chunk(1, index) for index in range(CHUNKS)}
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"ip": 5}, "ip: 5 is not of type str"),
+        ({"port_range": [7700]}, "port_range"),
+        ({"platform": {"address": "nowhere"}}, "platform.address: 'nowhere'"),
+        ({"bounds": {}}, "bounds.contact_ms: missing"),
+    ],
+)
+def test_wrong_settings_end_the_process(fleet, change, text):
+    fields = make_settings("bad", fleet.store.address, find_ports(6), [])
+    fields.update(change)
+    program = fleet.start("bad", "entry", fields)
+    assert program.process.wait(10) == 2
+    assert text in program.output.read_text("utf-8")
