--- a/src/coltsfootshift/cli/main.py
+++ b/src/coltsfootshift/cli/main.py
@@ -18,6 +18,7 @@
 from coltsfootshift.cli.reading import ReadError
 from coltsfootshift.cli.rollout import print_rollout
 from coltsfootshift.cli.status import print_status
+from coltsfootshift.cli.trace import print_trace
 from coltsfootshift.cli.trail import AuditFilter, print_audit
 
 __all__ = ["main"]
@@ -61,6 +62,18 @@
     return 0 if print_rollout(platform, service, follow, seconds) else EXIT_NO
 
 
+def trace(request: str, *files: Path) -> int:
+    """Show the way of a request through the logs of the processes on the users' platform.
+
+    Before the lines of each process stand the last changes of what it believed. Exit status 1
+    means that no file names the request.
+
+    :param request: the id of the request
+    :param files: log files, one or more processes in each
+    """
+    return 0 if print_trace(request, list(files)) else EXIT_NO
+
+
 def diff(file: Path, *, platform: str, json: bool = False) -> int:
     """Show what a catalogue file would change at the platform, by entry and field.
 
@@ -118,6 +131,7 @@
         "audit": audit,
         "explain": explain,
         "rollout": rollout,
+        "trace": trace,
     }
     try:
         sys.exit(defopt.run(commands))
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from math import isfinite
 from random import Random
 from typing import Any
 
@@ -21,7 +22,7 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
-from coltsfootshift.gateway.knowledge import Knowledge
+from coltsfootshift.gateway.knowledge import Knowledge, Table
 from coltsfootshift.gateway.links import LinkPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, measure_interval
@@ -428,8 +429,21 @@
         self, call: IncomingCall, head: CallHead, outcome: NotRun | Unknown
     ) -> None:
         self.metrics.count(f"refused_{outcome.status}")
+        now = self.reactor.seconds()
         logger.info(
             "request refused",
-            extra={"request": head.request, "cause": outcome.reason, "status": outcome.status},
+            extra={
+                "request": head.request,
+                "cause": outcome.reason,
+                "status": outcome.status,
+                "retry_after": getattr(outcome, "retry_after", None),
+                "catalogue": self.known.catalogue.version if self.known.catalogue else None,
+                "catalogue_age": self._round_age(Table.OPERATOR, now),
+                "endpoints_age": self._round_age(Table.ENDPOINTS, now),
+            },
         )
         call.answer(outcome.status, self._dialect.write_refusal(head.request, outcome), b"")
+
+    def _round_age(self, table: Table, now: float) -> float | None:
+        age = self.known.measure_age(table, now)
+        return round(age, 2) if isfinite(age) else None
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -58,7 +58,8 @@
         if waiting.late:
             latest = min(waiting.ends_at, waiting.arrived_at + LATE_WAIT_SECONDS)
         if expected > latest:
-            return self._refuse("no place in time", waiting, len(self._heap) * interval, now)
+            reason = f"no place in time: {ahead} ahead, one leaves in {interval:.3f} s"
+            return self._refuse(reason, waiting, len(self._heap) * interval, now)
         self._entered += 1
         row = (waiting.late, waiting.priority, waiting.due, self._entered, waiting)
         heapq.heappush(self._heap, row)
