Remove what nothing uses; tell endpoints the rank of each order

Dead names found in reading the change; a request's rank is passed on, the team's before the route's, so that urgent work is admitted first at the endpoint too.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -15,8 +15,6 @@
 
 __all__ = ["CallerConnection", "CallerFactory", "CallHandler", "IncomingCall"]
 
-RECEIVE_PAUSE_BYTES = 256 * 1024  # an answer's bytes waiting for a slow caller before reads pause
-KEEP_ALIVE_SECONDS = 60  # idle seconds allowed to kept connections in the kernel before probes
 
 _REASONS = {
     200: b"OK",
--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -61,7 +61,7 @@
     endpoint: InstanceId
     team: TeamName
     time_left: float
-    priority: int | None
+    priority: int
     version: int | None
     resume_after: str
 
@@ -90,7 +90,6 @@
     load: EndpointLoadReport | None
     keep_alive: float | None
     version: int | None
-    length: int | None
     passed: Headers
 
     @property
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -86,11 +86,6 @@
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
-    @property
-    def peers(self) -> list[InstanceId]:
-        """The processes that a stream is open to."""
-        return sorted(self._streams)
-
     def start(self) -> None:
         """Dial the seeds and start the ticks."""
         self._choose_peers()
@@ -103,12 +98,12 @@
 
     def announce(self) -> None:
         """Tell all peers the own row and revisions now."""
-        if self._roster.own is not None:
-            own = self._roster.own
-            self._roster.own = msgspec.structs.replace(own, sequence=own.sequence + 1)
-            self._broadcast(RosterTold([self._roster.own]))
-        if self._roster.own is not None:
-            self._broadcast(self._make_state())
+        own = self._roster.own
+        if own is None:
+            return
+        self._roster.own = msgspec.structs.replace(own, sequence=own.sequence + 1)
+        self._broadcast(RosterTold([self._roster.own]))
+        self._broadcast(self._make_state())
 
     def tell_engine(self, notice: EngineNotice) -> None:
         """Tell the followed entries what the engine serves."""
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -144,15 +144,6 @@
         self._started_ms = started_ms
         self._loop.start(TICK_SECONDS, now=True)
 
-    def describe(self) -> dict[str, Any]:
-        """Return what the status shows."""
-        return {
-            "wanted": self._wanted,
-            "share": round(self._controller.share, 3),
-            "neighbours": sorted(self._streams),
-            "serving": dict(self._report.versions) if self._report else {},
-        }
-
     def refresh(self) -> None:
         """Take the tables as they are known now."""
         self._choose_neighbours()
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, replace
 from math import isfinite
 from random import Random
@@ -40,6 +39,7 @@
 RECALL_MARGIN_SECONDS = 0.25  # an order taken back this long before has left the endpoint in time
 LATE_FACTOR = 0.9  # below this share of the route's longest deadline a caller has come back
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is left to entries not yet known
+LOWEST_PRIORITY = 9  # endpoints know ranks from 0, the first, to 9
 REFUSE_AFTER_LEAVING_SECONDS = 2.0  # later requests could last beyond the time to stop
 
 logger = get_logger("gateway")
@@ -78,7 +78,6 @@
         self.known = known
         self.metrics = metrics
         self.leaving_since: float | None = None
-        self.on_news: Callable[[], None] | None = None
         self._dialect = dialect
         self._source = source
         self._bounds = bounds
@@ -231,11 +230,6 @@
             logger.info("engine told", extra=row)
         self.refresh()
 
-    def close_pools(self) -> None:
-        """Close idle connections to endpoints."""
-        for pool in self._pools.values():
-            pool.close()
-
     def _refuses_all(self, now: float) -> bool:
         if self.leaving_since is None:
             return False
@@ -312,7 +306,7 @@
             endpoint=record.endpoint,
             team=admission.team.name,
             time_left=max(0.001, admission.ends_at - now),
-            priority=None,
+            priority=min(admission.priority, LOWEST_PRIORITY),
             version=exchange.version or least or None,
             resume_after=exchange.resume_after,
         )
