Test the budget of retries over all entries, the queue, and events in pieces

Tables for refusals on arrival, order and expiry; random pieces of streams pass only as whole events.

--- /dev/null
+++ b/tests/test_gateway_decisions.py
@@ -0,0 +1,135 @@
+"""Decisions of the gateway alone: retries of all entries, the queue, streams cut into events."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from coltsfootshift.gateway.budget import RetryBudget
+from coltsfootshift.gateway.events import EventCutter
+from coltsfootshift.gateway.waiting import LATE_WAIT_SECONDS, Waiting, WaitingQueue
+from coltsfootshift.ids import ServiceName
+from coltsfootshift.outcomes import NotRun
+
+RATIO, ALLOWANCE, WINDOW = 0.2, 30.0, 10.0
+SERVICE = ServiceName("s")
+
+steps = st.lists(
+    st.tuples(
+        st.integers(0, 3),
+        st.sampled_from(["request", "retry"]),
+        st.floats(0, 3),
+        st.integers(1, 30),
+    ),
+    max_size=60,
+)
+
+
+@settings(max_examples=200, deadline=None)
+@given(steps)
+def test_retries_of_all_entries_stay_within_the_budget_in_every_window(steps):
+    budgets = [RetryBudget(RATIO, ALLOWANCE, WINDOW) for _ in range(4)]
+    for budget in budgets:
+        budget.set_entries(len(budgets))
+    now, requests, retries = 0.0, [], []
+    for entry, kind, pause, count in steps:
+        now += pause
+        for _ in range(count):
+            if kind == "request":
+                budgets[entry].note_request(SERVICE, now)
+                requests.append(now)
+            elif budgets[entry].take(SERVICE, now):
+                retries.append(now)
+        for end in {*requests, *retries}:
+            asked = sum(end - WINDOW < at <= end for at in requests)
+            again = sum(end - WINDOW < at <= end for at in retries)
+            before = sum(end - 2 * WINDOW < at <= end - WINDOW for at in requests)
+            assert again <= RATIO * max(asked, before) + ALLOWANCE
+
+
+def make_waiting(name, priority=1, due=1.0, late=False, arrived_at=0.0):
+    return Waiting(name, priority, arrived_at, due, 6.0, late)
+
+
+@pytest.mark.parametrize(
+    ("queued", "offered", "refused"),
+    [
+        (0, make_waiting("x", due=0.3), False),
+        (0, make_waiting("x", due=0.05), True),
+        (3, make_waiting("x", due=0.32), True),
+        (3, make_waiting("x", due=0.5), False),
+        (3, make_waiting("x", priority=0, due=0.32), False),
+        (3, make_waiting("x", due=0.05, late=True), False),
+        (12, make_waiting("x", due=0.05, late=True), True),
+    ],
+    ids=[
+        "in time",
+        "late at once",
+        "too many ahead",
+        "time for all",
+        "urgent goes first",
+        "late but soon",
+        "late and too many ahead",
+    ],
+)
+def test_what_cannot_be_sent_in_time_is_refused_on_arrival(queued, offered, refused):
+    queue = WaitingQueue(Random(1))
+    for number in range(queued):
+        due = max(0.31, 0.1 * (number + 1) + 0.01)
+        assert queue.offer(make_waiting(number, due=due), 0.1, 0.0) is None
+    refusal = queue.offer(offered, 0.1, 0.0)
+    assert (refusal is not None) is refused
+    if refusal is not None:
+        assert isinstance(refusal, NotRun) and 0.0 < refusal.retry_after <= 2.0
+
+
+def test_order_of_the_queue():
+    queue = WaitingQueue(Random(1))
+    rows = [
+        make_waiting("late", priority=0, late=True),
+        make_waiting("second", due=2.0),
+        make_waiting("first", due=1.0),
+        make_waiting("urgent", priority=0, due=3.0),
+    ]
+    for row in rows:
+        assert queue.offer(row, 0.01, 0.0) is None
+    order = []
+    while (waiting := queue.peek()) is not None:
+        order.append(waiting.item)
+        queue.pop()
+    assert order == ["urgent", "first", "second", "late"]
+
+
+@pytest.mark.parametrize(
+    ("late", "now", "expired"),
+    [(False, 0.9, 0), (False, 1.1, 1), (True, 0.9, 0), (True, LATE_WAIT_SECONDS + 0.1, 1)],
+)
+def test_requests_leave_the_queue_as_soon_as_they_cannot_be_sent_in_time(late, now, expired):
+    queue = WaitingQueue(Random(1))
+    queue.offer(make_waiting("x", late=late), 0.01, 0.0)
+    assert len(list(queue.expire(now))) == expired
+    assert len(queue) == 1 - expired
+
+
+@settings(max_examples=200, deadline=None)
+@given(
+    st.lists(
+        st.binary(min_size=1, max_size=20).filter(lambda b: b"\n" not in b and b"\r" not in b)
+    ),
+    st.sampled_from([b"\n\n", b"\r\n\r\n"]),
+    st.lists(st.integers(1, 50)),
+)
+def test_events_pass_whole_whatever_the_pieces(values, end, sizes):
+    events = [b"id: %d\ndata: %s" % (n, value) + end for n, value in enumerate(values)]
+    stream = b"".join(events)
+    cutter = EventCutter("")
+    passed, rest = b"", stream
+    for size in [*sizes, len(stream) + 1]:
+        piece, rest = rest[:size], rest[size:]
+        passed += cutter.feed(piece)
+        assert passed in {b"".join(events[:n]) for n in range(len(events) + 1)}
+    assert passed == stream and cutter.whole
+    assert cutter.last_id == (str(len(values) - 1) if values else "")
