--- a/src/coltsfootshift/gateway/checks.py
+++ b/src/coltsfootshift/gateway/checks.py
@@ -15,6 +15,7 @@
 __all__ = ["Admission", "Check", "Decided", "Denied", "KeyCheck", "LimitCheck", "RouteCheck"]
 
 UNLIMITED_SECONDS = 3600.0  # stands for a deadline that the caller did not tell
+RETRY_SOON_SECONDS = 0.5  # another entry may know more; this one within a read of the store
 KEY_MARGIN_SECONDS = 0.4  # a request is sent, read and passed on within this time
 
 
@@ -65,7 +66,7 @@
     def refuse(self, admission: Admission, known: Knowledge, now: float) -> Decided | None:
         """Refuse what no route serves; without a catalogue nothing is denied."""
         if known.catalogue is None or not known.complete:
-            return NotRun("no catalogue is known yet", retry_after=0.5)
+            return NotRun("no catalogue is known yet", retry_after=RETRY_SOON_SECONDS)
         head = admission.head
         route = known.catalogue.find_route(head.host, head.path)
         if route is None:
@@ -96,7 +97,9 @@
             return None
         age = known.measure_age(Table.OPERATOR, now)
         if age > self._most_age:
-            return NotRun(f"the catalogue was last confirmed {age:.1f} s ago", retry_after=0.5)
+            return NotRun(
+                f"the catalogue was last confirmed {age:.1f} s ago", retry_after=RETRY_SOON_SECONDS
+            )
         team = known.catalogue.teams.get(admission.head.key)
         if team is None:
             return Denied("unknown key", 401)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -22,6 +22,8 @@
 SILENCE_SECONDS = (
     1.5  # beyond three times the longest pause aimed at; a lost endpoint stalls as long
 )
+MISDIRECTED_BLOCK_SECONDS = 0.3  # until the store tells which endpoint has the address now
+RETRY_SOON_SECONDS = 0.2  # another entry, or the next moment, may have a place
 MISDIRECTED = 421
 PROMISES = frozenset({408, 421, 429, 503})  # callers take these as a promise that nothing has run
 
@@ -261,7 +263,7 @@
         self._cancel_order(keep=True)
         if head.status == MISDIRECTED:
             attempt.state.note_dropped(self.request)
-            attempt.state.blocked_until = now + SILENCE_SECONDS / 5
+            attempt.state.blocked_until = now + MISDIRECTED_BLOCK_SECONDS
         else:
             attempt.state.note_full(self.request, now)
         self._retry(attempt, f"not run, status {head.status}")
@@ -305,7 +307,7 @@
         elif self.runs > 0:
             self._owner.write_refusal(self, Unknown(reason, status=502))
         else:
-            self._owner.write_refusal(self, NotRun(reason, retry_after=0.2))
+            self._owner.write_refusal(self, NotRun(reason, retry_after=RETRY_SOON_SECONDS))
 
     def _answer_held(self, head: AnswerHead) -> None:
         if self.begun:
