--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -49,6 +49,8 @@
 ACCEPT_AFTER_LEAVING_SECONDS = 4.0  # callers that kept an address come for about two answers' lives
 STOP_MARGIN_SECONDS = 0.7  # before the platform kills the process
 CHECK_SECONDS = 0.1
+# A change has two seconds to be in force, so a lost peer shows and is dialled again within that.
+PEER_TIMING = StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0)
 MILLISECONDS = 1000
 
 logger = get_logger("gateway.node")
@@ -100,7 +102,7 @@
         self.rng = Random(self._incarnation)
         self.context = StreamContext(
             reactor,
-            StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0),
+            PEER_TIMING,
             self.metrics,
             self._make_hello,
             KeyRing.make(NO_SECRET),
