Leave a caller's connection open after the refusal of a retry

Ruled out: limits of descriptors and idle times; the same second shows 503 'not run' at the engine first. Change: _retry stops where the exchange has ended.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -294,7 +294,7 @@
                 "again": again,
             },
         )
-        if again:
+        if again or self.ended:
             return
         if keep_answer and attempt.head is not None:
             self._held = held
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -341,3 +341,14 @@
     assert (second is None) is begun
     if second is not None:
         assert b"x-expect-version: 2" in second.value().lower()
+
+
+def test_refusal_after_a_retry_that_finds_no_place_reaches_the_caller():
+    harness = GatewayHarness(endpoints=0, engines=2)
+    caller = harness.call("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
+    first = harness.accept()
+    harness.clock.advance(1.1)
+    first.protocol.dataReceived(NOT_RUN)
+    harness.accept().protocol.dataReceived(NOT_RUN)
+    assert read_status(caller) == 503
+    assert not caller.aborted and not caller.disconnecting
