Tell all entries what engines serve, and let four entries read the endpoints

Entries pass an agent's notice on; for 3 s it wins over records of the same start; - a request found no engine while all loaded and was refused; it waits now. Four entries read the endpoints' table, the others read where nobody confirms it for 1.8 s; all read the operator's. Agents are also told of four other live entries each half second: they forgot all but two within 2.5 s. Ruled out: the larger fleet's heartbeats (16 peers, all direct).

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -23,7 +23,6 @@
     1.5  # beyond three times the longest pause aimed at; a lost endpoint stalls as long
 )
 MISDIRECTED_BLOCK_SECONDS = 0.3  # until the store tells which endpoint has the address now
-RETRY_SOON_SECONDS = 0.2  # another entry, or the next moment, may have a place
 MISDIRECTED = 421
 PROMISES = frozenset({408, 421, 429, 503})  # callers take these as a promise that nothing has run
 
@@ -39,6 +38,10 @@
     def place_again(self, exchange: Exchange) -> bool:
         """Find another endpoint for an exchange now or later; False where none may be asked."""
 
+    @abstractmethod
+    def draw_return(self, exchange: Exchange) -> float:
+        """Return after how many seconds the caller of an exchange without a place comes back."""
+
     @abstractmethod
     def note_begun(self, predicted: float, taken: float) -> None:
         """An answer has begun, `taken` seconds after its order; `predicted` was expected."""
@@ -307,7 +310,9 @@
         elif self.runs > 0:
             self._owner.write_refusal(self, Unknown(reason, status=502))
         else:
-            self._owner.write_refusal(self, NotRun(reason, retry_after=RETRY_SOON_SECONDS))
+            self._owner.write_refusal(
+                self, NotRun(reason, retry_after=self._owner.draw_return(self))
+            )
 
     def _answer_held(self, head: AnswerHead) -> None:
         if self.begun:
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -11,7 +11,7 @@
 from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.gateway.knowledge import Item, Knowledge, Table, TableAnswer
 from coltsfootshift.gateway.roster import Roster
-from coltsfootshift.ids import InstanceId, Purpose
+from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
     EngineNotice,
@@ -32,8 +32,9 @@
 
 TICK_SECONDS = 0.5
 ASK_AGAIN_SECONDS = 1.0  # an answer of a peer takes a few round trips of milliseconds
-MOST_PEERS = 16  # beyond this many entries each keeps streams to the next on a hash ring
+MOST_PEERS = 32  # every peer is told each heartbeat; larger fleets need relays (docs/CAPACITY.md)
 FOLLOWED_ENTRIES = 2  # an agent learns from this many entries, so that one may die
+TOLD_ENTRIES = 4  # others that an agent is told of, so that it knows where to go when both die
 
 logger = get_logger("gateway.fleet")
 
@@ -102,8 +103,13 @@
         if own is None:
             return
         self._roster.own = msgspec.structs.replace(own, sequence=own.sequence + 1)
-        self._broadcast(RosterTold([self._roster.own]))
-        self._broadcast(self._make_state())
+        others = self._roster.list_rows()[1:]
+        some = self._rng.sample(others, min(TOLD_ENTRIES, len(others)))
+        state = self._make_state()
+        for streams in list(self._streams.values()):
+            follows = streams[-1].peer_role == Role.AGENT.value
+            streams[-1].send(RosterTold([self._roster.own, *(some if follows else ())]))
+            streams[-1].send(state)
 
     def tell_engine(self, notice: EngineNotice) -> None:
         """Tell the followed entries what the engine serves."""
@@ -145,10 +151,19 @@
         elif isinstance(message, KnowledgeTold):
             self._take_items(stream, message)
         elif isinstance(message, EngineNotice):
-            self._observer.engine_told(message)
+            self._take_notice(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
 
+    def _take_notice(self, stream: PeerStream, message: EngineNotice) -> None:
+        """Take a notice, and pass it on where it comes from the agent itself."""
+        self._observer.engine_told(message)
+        if self._roster.own is None or stream.peer_role != Role.AGENT.value:
+            return
+        for streams in list(self._streams.values()):
+            if streams[-1].peer_role == Role.ENTRY.value:
+                streams[-1].send(message)
+
     def _tick(self) -> None:
         now = self._context.reactor.seconds()
         silent = self._roster.forget_silent(now)
--- a/src/coltsfootshift/gateway/knowledge.py
+++ b/src/coltsfootshift/gateway/knowledge.py
@@ -3,17 +3,28 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
 from coltsfootshift.ids import InstanceId
 from coltsfootshift.logs import get_logger
-
-__all__ = ["Item", "ItemDecoder", "Knowledge", "Table", "TableAnswer", "WantedVersion"]
+from coltsfootshift.settings import Address
+
+__all__ = [
+    "EngineNote",
+    "Item",
+    "ItemDecoder",
+    "Knowledge",
+    "Table",
+    "TableAnswer",
+    "TableUser",
+    "WantedVersion",
+]
 
 LAPSE_HOLD_SECONDS = 2.0  # entries that lapsed with the store away are back within this time
 MOST_NAMED = 16  # versions of a model whose time to be served may still run
+NOTE_HOLD_SECONDS = 3.0  # an engine's heartbeat to the store, 1.2 s, and what the store lags
 OUTAGE_SECONDS = 1.0  # a shorter silence of the store lets no entry lapse
 
 logger = get_logger("gateway.knowledge")
@@ -64,6 +75,32 @@
     at_start: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class EngineNote:
+    """What an agent says of its engine: the version it serves, 0 for none, and if it loads.
+
+    `born` tells the starts of an engine apart; `noted_at` is when this process was told.
+    """
+
+    born: int
+    model: str
+    version: int
+    loading: bool
+    noted_at: float
+
+
+class TableUser(ABC):
+    """Says what to read of the store and takes the answers."""
+
+    @abstractmethod
+    def find_after(self, table: Table) -> int | None:
+        """Return the revision after which to read changes, None to read nothing for now."""
+
+    @abstractmethod
+    def take_answer(self, answer: TableAnswer) -> None:
+        """Take an answer of the store."""
+
+
 class ItemDecoder(ABC):
     """Turns items of the store into the product's types; None for an item that holds none."""
 
@@ -104,6 +141,7 @@
         self._tables = {table: _TableState() for table in Table}
         self._endpoint_ids: dict[str, InstanceId] = {}
         self._lapsed: dict[InstanceId, float] = {}
+        self._notes: dict[Address, EngineNote] = {}
         self._first_answer = True
 
     def __repr__(self) -> str:
@@ -189,6 +227,20 @@
                 whole.append(item)
         return whole
 
+    def note_engine(self, address: Address, note: EngineNote) -> list[InstanceId]:
+        """Take what an agent says of its engine; return the endpoints that this changes.
+
+        The store tells the same a heartbeat later, so until then its records are the older news.
+        """
+        self._notes[address] = note
+        changed = []
+        for name, record in self.endpoints.items():
+            told = self._apply_note(record, note.noted_at)
+            if told != record:
+                self.endpoints[name] = told
+                changed.append(name)
+        return changed
+
     def drop_lapsed(self, now: float) -> bool:
         """Forget the endpoints whose hold is over; return whether there were any."""
         over = [name for name, until in self._lapsed.items() if until <= now]
@@ -240,7 +292,7 @@
         if record is not None:
             self._endpoint_ids[item.key] = name
             self._lapsed.pop(name, None)
-            self.endpoints[name] = record
+            self.endpoints[name] = self._apply_note(record, now)
             return
         regained_at = self._tables[Table.ENDPOINTS].regained_at
         held = self.endpoints.get(name)
@@ -252,3 +304,15 @@
         self._lapsed.pop(name, None)
         if self.endpoints.pop(name, None) is not None:
             logger.info("endpoint gone", extra={"endpoint": name, "revision": item.revision})
+
+    def _apply_note(self, record: EndpointRecord, now: float) -> EndpointRecord:
+        note = self._notes.get(record.address)
+        if note is None or note.born != record.born:
+            return record
+        if now - note.noted_at > NOTE_HOLD_SECONDS:
+            del self._notes[record.address]
+            return record
+        versions = {name: held for name, held in record.versions.items() if name != note.model}
+        if note.version and not note.loading:
+            versions[note.model] = note.version
+        return replace(record, versions=versions, loading=note.loading)
--- a/src/coltsfootshift/gateway/model.py
+++ b/src/coltsfootshift/gateway/model.py
@@ -152,7 +152,8 @@
     """What the platform lists of one start of an endpoint.
 
     `versions` holds the version of each model whose layers are all loaded; a plain service has
-    none. `born` is the Unix millisecond of its start, 0 where it is not told.
+    none. `born` is the Unix millisecond of its start, 0 where it is not told. `loading` is set
+    while an engine loads, so that it will serve in a moment.
     """
 
     endpoint: InstanceId
@@ -163,3 +164,4 @@
     leaving: bool = False
     born: int = 0
     versions: Mapping[str, int] = field(default_factory=dict)
+    loading: bool = False
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -22,7 +22,14 @@
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_row
-from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, Table, TableAnswer
+from coltsfootshift.gateway.knowledge import (
+    EngineNote,
+    ItemDecoder,
+    Knowledge,
+    Table,
+    TableAnswer,
+    TableUser,
+)
 from coltsfootshift.gateway.rollout import RolloutTask
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import Gateway, GatewayBounds
@@ -49,6 +56,8 @@
 ACCEPT_AFTER_LEAVING_SECONDS = 4.0  # callers that kept an address come for about two answers' lives
 STOP_MARGIN_SECONDS = 0.7  # before the platform kills the process
 CHECK_SECONDS = 0.1
+# Readers confirm every 1.5 s and tell it every 0.5 s; a leaving endpoint must be known in 2 s.
+TAKE_OVER_SECONDS = 1.8
 # A change has two seconds to be in force, so a lost peer shows and is dialled again within that.
 PEER_TIMING = StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0)
 MILLISECONDS = 1000
@@ -211,7 +220,7 @@
         )
 
 
-class GatewayEntry(GatewayNode):
+class GatewayEntry(GatewayNode, TableUser):
     """Callers' door, directory and placement."""
 
     role = Role.ENTRY
@@ -255,6 +264,18 @@
         """Return where callers of a place may connect."""
         return self.roster.list_callers_addresses(domain, region, self.rng)
 
+    def find_after(self, table: Table) -> int | None:
+        """Return the revision held; None for endpoints while other entries confirm them.
+
+        Every entry reads the operator's table itself, so that a change is in force in time
+        whatever becomes of other entries.
+        """
+        age = self.known.measure_age(table, self.reactor.seconds())
+        told = table is Table.ENDPOINTS and age < TAKE_OVER_SECONDS
+        if told and not self.roster.is_reader():
+            return None
+        return self.known.get_revision(table)
+
     def take_answer(self, answer: TableAnswer) -> None:
         """Take an answer of the store."""
         if self.known.apply(answer, self.reactor.seconds()):
@@ -272,13 +293,9 @@
 
     def engine_told(self, notice: EngineNotice) -> None:
         """Take what an agent says of its engine before the store lists it."""
-        self.gateway.note_engine(
-            Address(notice.host, notice.port),
-            notice.born,
-            notice.model,
-            notice.version,
-            notice.loading,
-        )
+        now = self.reactor.seconds()
+        note = EngineNote(notice.born, notice.model, notice.version, notice.loading, now)
+        self.gateway.note_engine(Address(notice.host, notice.port), note)
 
     def start_role(self) -> None:
         """Listen for peers, callers and questions; follow the store."""
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 from random import Random
 
+from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.ids import InstanceId
 from coltsfootshift.messages import EntryRow
 from coltsfootshift.settings import Address
@@ -12,6 +13,8 @@
 __all__ = ["Roster"]
 
 SILENT_SECONDS = 2.5  # two and a half heartbeats of an entry
+READERS = 4  # two may be lost at once and another turned away by the store
+READERS_KEY = "readers"
 MOST_LISTED = 64  # callers read no more addresses
 
 
@@ -63,6 +66,17 @@
         """Return how many entries are live, leaving ones included."""
         return len(self.list_rows())
 
+    def is_reader(self) -> bool:
+        """Return whether this entry reads the endpoints' table for the fleet.
+
+        All entries work out the same few from the live ones, so that the store is not asked more
+        often by a larger fleet.
+        """
+        names = [row.instance for row in self.list_rows() if not row.leaving]
+        if self.own is None:
+            return False
+        return self.own.instance in rank_by_hash(READERS_KEY, names)[:READERS]
+
     def list_callers_addresses(self, domain: str, region: str, rng: Random) -> list[Address]:
         """Return where callers of a place may connect: ready entries, nearest first.
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from math import isfinite
 from random import Random
 from typing import Any
@@ -21,7 +21,7 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
-from coltsfootshift.gateway.knowledge import Knowledge, Table
+from coltsfootshift.gateway.knowledge import EngineNote, Knowledge, Table
 from coltsfootshift.gateway.links import LinkPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, measure_interval
@@ -185,6 +185,11 @@
             self._wait(exchange, now)
         return not exchange.ended
 
+    def draw_return(self, exchange: Exchange) -> float:
+        """Return after how many seconds the caller of an exchange without a place comes back."""
+        left = exchange.admission.ends_at - self.reactor.seconds()
+        return draw_return(left, 0.0, self._rng)
+
     def note_begun(self, predicted: float, taken: float) -> None:
         """Measure how well starts are predicted."""
         self.metrics.observe("start_seconds", taken)
@@ -214,21 +219,14 @@
         """Answer the caller of an exchange that failed."""
         self._answer_refusal(exchange.call, exchange.admission.head, outcome)
 
-    def note_engine(
-        self, address: Address, born: int, model: str, version: int, loading: bool
-    ) -> None:
+    def note_engine(self, address: Address, note: EngineNote) -> None:
         """Take what an agent says of its engine: which version it serves, whether it loads."""
-        for state in self._states.values():
-            record = state.record
-            if record.address != address or record.born != born:
-                continue
-            versions = {name: held for name, held in record.versions.items() if name != model}
-            if version and not loading:
-                versions[model] = version
-            self.known.endpoints[record.endpoint] = replace(record, versions=versions)
-            row = {"endpoint": record.endpoint, "version": version, "loading": loading}
+        changed = self.known.note_engine(address, note)
+        for name in changed:
+            row = {"endpoint": name, "version": note.version, "loading": note.loading}
             logger.info("engine told", extra=row)
-        self.refresh()
+        if changed:
+            self.refresh()
 
     def _refuses_all(self, now: float) -> bool:
         if self.leaving_since is None:
@@ -270,6 +268,11 @@
             found.append(state)
         return found
 
+    def _list_loading(self, exchange: Exchange) -> list[EndpointState]:
+        """Return the engines that load now: an engine is back within a second."""
+        states = self._by_service.get(exchange.service.name, [])
+        return [state for state in states if state.record.loading]
+
     def _find_least_version(
         self, exchange: Exchange, now: float, margin: float = VERSION_MARGIN_SECONDS
     ) -> int:
@@ -333,7 +336,7 @@
     def _wait(self, exchange: Exchange, now: float) -> None:
         admission, route = exchange.admission, exchange.route
         queue = self._queues.setdefault(exchange.service.name, WaitingQueue(self._rng))
-        states = self._list_candidates(exchange, now)
+        states = self._list_candidates(exchange, now) or self._list_loading(exchange)
         if not states:
             left = admission.ends_at - now
             after = draw_return(left, float("inf"), self._rng)
--- a/src/coltsfootshift/peer.py
+++ b/src/coltsfootshift/peer.py
@@ -139,6 +139,11 @@
         """The incarnation of the process at the other end."""
         return Incarnation(self.peer.incarnation if self.peer else "")
 
+    @property
+    def peer_role(self) -> str:
+        """The role of the process at the other end."""
+        return self.peer.role if self.peer else ""
+
     @property
     def quiet_seconds(self) -> float:
         """For how long nothing has arrived that was to be expected, in seconds."""
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -12,8 +12,9 @@
 )
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
-from coltsfootshift.gateway.knowledge import WantedVersion
+from coltsfootshift.gateway.knowledge import EngineNote, WantedVersion
 from coltsfootshift.gateway.model import CallerLimits
+from coltsfootshift.gateway.waiting import LEAST_RETURN_SECONDS
 
 NOT_RUN = make_answer(status=503, headers=("X-Not-Executed: 1",), sealed=False)
 MISDIRECTED = make_answer(status=421, headers=("X-Instance-Id: i-2",), sealed=False)
@@ -352,3 +353,27 @@
     harness.accept().protocol.dataReceived(NOT_RUN)
     assert read_status(caller) == 503
     assert not caller.aborted and not caller.disconnecting
+
+
+def test_request_waits_for_an_engine_that_loads():
+    harness = GatewayHarness(endpoints=0, engines=1)
+    address = harness.known.endpoints["m-0"].address
+    harness.gateway.note_engine(address, EngineNote(0, "m", 1, True, 0.0))
+    caller = harness.call("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
+    harness.clock.advance(0.1)
+    assert read_status(caller) == 0 and harness.accept() is None
+    harness.gateway.note_engine(address, EngineNote(0, "m", 2, False, 0.1))
+    harness.clock.advance(0.02)
+    assert harness.accept() is not None
+
+
+def test_caller_without_a_place_comes_back_once_there_may_be_one():
+    harness = GatewayHarness(endpoints=0, engines=1)
+    caller = harness.call("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
+    harness.known.endpoints.clear()
+    harness.gateway.refresh()
+    harness.accept().protocol.dataReceived(MISDIRECTED)
+    head = caller.value().lower()
+    assert read_status(caller) == 503
+    after = float(head.partition(b"retry-after: ")[2].partition(b"\r\n")[0])
+    assert after >= LEAST_RETURN_SECONDS
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -5,20 +5,30 @@
 from random import Random
 
 import pytest
-from gateway_harness import NoDecoder
+from coltsfootshift_platform.dialect import PlatformDialect
+from gateway_harness import BOUNDS, NoDecoder
 from twisted.internet.task import Clock
+from twisted.internet.testing import MemoryReactorClock
 
-from coltsfootshift.gateway.fleet import ASK_AGAIN_SECONDS, FleetObserver, FleetTask
+from coltsfootshift.gateway.fleet import (
+    ASK_AGAIN_SECONDS,
+    TOLD_ENTRIES,
+    FleetObserver,
+    FleetTask,
+)
 from coltsfootshift.gateway.knowledge import Item, Knowledge, Table, TableAnswer
-from coltsfootshift.gateway.roster import SILENT_SECONDS, Roster
-from coltsfootshift.ids import InstanceId
+from coltsfootshift.gateway.nodes import TAKE_OVER_SECONDS, GatewayEntry, NodePlace
+from coltsfootshift.gateway.roster import READERS, SILENT_SECONDS, Roster
+from coltsfootshift.ids import FailureDomain, InstanceId, Role
 from coltsfootshift.messages import (
+    EngineNotice,
     EntryRow,
     KnowledgeAsked,
     KnowledgeItem,
     KnowledgeRow,
     KnowledgeStated,
     KnowledgeTold,
+    RosterTold,
 )
 from coltsfootshift.settings import Address
 
@@ -37,13 +47,14 @@
 class Stream:
     """A peer's stream that keeps what is sent on it."""
 
-    peer_id = InstanceId("entry-2")
     transit_delay = 0.0
 
-    def __init__(self, incarnation="1"):
+    def __init__(self, incarnation="1", peer_id="entry-2", role=Role.ENTRY):
         self.sent = []
         self.aborted = False
         self.peer_incarnation = incarnation
+        self.peer_id = InstanceId(peer_id)
+        self.peer_role = role.value
 
     def send(self, message):
         self.sent.append(message)
@@ -157,3 +168,69 @@
     roster.take([make_row("x", 1)], 1.0)
     assert roster.forget_silent(1.0 + SILENT_SECONDS) == []
     assert roster.forget_silent(1.1 + SILENT_SECONDS) == ["x"]
+
+
+@pytest.mark.parametrize(("role", "passed_on"), [(Role.AGENT, 1), (Role.ENTRY, 0)])
+def test_notice_of_an_agent_reaches_the_other_entries_once(fleet, role, passed_on):
+    told = Stream(peer_id="teller", role=role)
+    entry = Stream(peer_id="entry-3")
+    agent = Stream(peer_id="agent-2", role=Role.AGENT)
+    for stream in (told, entry, agent):
+        fleet.stream_opened(stream)
+    notice = EngineNotice("10.0.0.9", 7, 1, "m", 2, False, 0.0)
+    fleet.stream_received(told, notice)
+    assert entry.sent.count(notice) == passed_on
+    assert told.sent.count(notice) == agent.sent.count(notice) == 0
+
+
+@pytest.mark.parametrize(("role", "others"), [(Role.AGENT, TOLD_ENTRIES), (Role.ENTRY, 0)])
+def test_agents_are_told_of_other_entries_that_live(fleet, role, others):
+    fleet._roster.take([make_row(f"other-{number}") for number in range(9)], 0.0)
+    stream = Stream(role=role)
+    fleet.stream_opened(stream)
+    fleet.announce()
+    told = [message for message in stream.sent if isinstance(message, RosterTold)]
+    assert len(told[-1].rows) == 1 + others
+
+
+NAMES = [f"entry-{number}" for number in range(16)]
+
+
+def list_readers(leaving=()):
+    readers = []
+    for name in NAMES:
+        roster = Roster(make_row(name, leaving=name in leaving))
+        roster.take([make_row(other, leaving=other in leaving) for other in NAMES], 1.0)
+        if roster.is_reader():
+            readers.append(name)
+    return readers
+
+
+def test_few_entries_read_the_endpoints_for_all():
+    readers = list_readers()
+    assert len(readers) == READERS
+    others = list_readers(leaving=readers)
+    assert len(others) == READERS and not set(others) & set(readers)
+
+
+@pytest.mark.parametrize(
+    ("reader", "table", "age", "asked"),
+    [
+        (True, Table.ENDPOINTS, 0.1, True),
+        (False, Table.ENDPOINTS, 0.1, False),
+        (False, Table.ENDPOINTS, TAKE_OVER_SECONDS, True),
+        (False, Table.OPERATOR, 0.1, True),
+    ],
+    ids=["reader", "told by others", "told for too long", "operator's"],
+)
+def test_entry_reads_what_others_do_not_confirm(reader, table, age, asked):
+    clock = MemoryReactorClock()
+    name = next(name for name in NAMES if (name in list_readers()) is reader)
+    address = Address("10.0.0.1", 1)
+    place = NodePlace(InstanceId(name), address, "north", FailureDomain("a"), (), 8.0, 3)
+    entry = GatewayEntry(clock, place, NoDecoder(), PlatformDialect(), address, BOUNDS)
+    entry.roster.take([make_row(other) for other in NAMES], 0.0)
+    clock.advance(10.0)
+    confirmed_at = clock.seconds() - age
+    entry.known.apply(TableAnswer(table, (), 7, True, confirmed_at), clock.seconds())
+    assert entry.find_after(table) == (7 if asked else None)
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -8,6 +8,8 @@
 
 from coltsfootshift.gateway.knowledge import (
     LAPSE_HOLD_SECONDS,
+    NOTE_HOLD_SECONDS,
+    EngineNote,
     Item,
     ItemDecoder,
     Knowledge,
@@ -43,6 +45,8 @@
             FailureDomain("a"),
             4,
             leaving=fields.get("leaving", False),
+            born=fields.get("born", 0),
+            versions=fields.get("versions", {}),
         )
 
 
@@ -130,3 +134,39 @@
     assert [item.key for item in items] == ["e-2"] and set(keys) == {"e-1", "e-2"}
     whole = known.complete_items(Table.ENDPOINTS, items, ["e-1", "e-2"])
     assert {item.key for item in whole} == {"e-1", "e-2"}
+
+
+def make_engine(born, version):
+    return json.dumps({"service": "s", "born": born, "versions": {"m": version}}).encode()
+
+
+AT_ENGINE = Address("10.0.0.1", 80)
+
+
+@pytest.mark.parametrize(
+    ("note_first", "born", "waited", "expected"),
+    [
+        (False, 1, 0.5, {"m": 2}),
+        (True, 1, 0.5, {"m": 2}),
+        (False, 1, NOTE_HOLD_SECONDS + 0.1, {"m": 1}),
+        (False, 2, 0.5, {"m": 1}),
+    ],
+    ids=["record after", "listed after", "record long after", "another start"],
+)
+def test_record_of_the_store_is_older_news_than_the_agents(note_first, born, waited, expected):
+    known = Knowledge(PlainDecoder())
+    note = EngineNote(1, "m", 2, False, 10.0)
+    if note_first:
+        assert known.note_engine(AT_ENGINE, note) == []
+    else:
+        tell(known, Table.ENDPOINTS, [("e-1", 3, make_engine(1, 1))], 3, 9.0)
+        assert known.note_engine(AT_ENGINE, note) == ["e-1"]
+        assert known.endpoints["e-1"].versions == {"m": 2}
+    tell(known, Table.ENDPOINTS, [("e-1", 4, make_engine(born, 1))], 4, 10.0 + waited)
+    assert known.endpoints["e-1"].versions == expected
+
+
+def test_engine_that_loads_serves_nothing_of_the_model(known):
+    tell(known, Table.ENDPOINTS, [("e-1", 5, make_engine(1, 1))], 5, 1.0)
+    known.note_engine(AT_ENGINE, EngineNote(1, "m", 1, True, 2.0))
+    assert known.endpoints["e-1"].versions == {}
