Pass digests on among agents, and hold few connections to the origin

Change: the first four agents by hash read the digests and tell neighbours; the others ask when nothing comes for 0.5 s each four. A chunk that the origin sends twice against its digest puts the digests in doubt; they are read anew.

--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -37,6 +37,7 @@
 from coltsfootshift.controllers.duties import choose_neighbours
 from coltsfootshift.controllers.waves import ServingState, Waves
 from coltsfootshift.controllers.weights import WeightsController
+from coltsfootshift.gateway.digests import DigestBook
 from coltsfootshift.gateway.engines import EngineReport, LocalEngine, PortError, VersionOrigin
 from coltsfootshift.gateway.knowledge import Knowledge
 from coltsfootshift.gateway.model import EngineSpec
@@ -48,6 +49,7 @@
     ChunkPart,
     ChunkRefused,
     ChunkRequest,
+    DigestsTold,
     Have,
     Leaving,
     Message,
@@ -119,11 +121,13 @@
         self._tell_entries = tell
         self._controller = WeightsController(self._own, rng, place, asks_at_once=ASKS_AT_ONCE)
         self._waves = Waves(self._own)
+        self._book = DigestBook(self._own)
         self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
         self._streams: dict[InstanceId, PeerStream] = {}
         self._plan = VersionPlan()
         self._origin: tuple[Address, VersionOrigin] | None = None
         self._wanted: tuple[str, int] = ("", 0)
+        self._wanted_at = 0.0
         self._digests: list[bytes] = []
         self._chunks: dict[int, bytes] = {}
         self._parts: dict[tuple[InstanceId, int], bytearray] = {}
@@ -160,6 +164,7 @@
         place = Place(stream.peer.region, stream.peer.failure_domain)
         self._tell(NeighbourOpened(stream.peer_id, place))
         self._send_states([stream.peer_id], self._waves.states)
+        self._send_digests([stream.peer_id])
 
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
         """Drop a neighbour."""
@@ -186,6 +191,8 @@
             self._take_part(peer, message)
         elif isinstance(message, ServingNotice):
             self._take_states(message)
+        elif isinstance(message, DigestsTold):
+            self._take_digests(message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a weights stream")
 
@@ -217,6 +224,7 @@
         peers = choose_neighbours(self._own, places, self._service)
         self._dialer.set_targets({InstanceId(name): addresses[InstanceId(name)] for name in peers})
         self._tell(PullersKnown(places))
+        self._book.set_instances(places)
         least = int(LEAST_SERVING_SHARE * len(places))
         self._waves.set_instances(tuple(places), least, self.reactor.seconds())
 
@@ -230,6 +238,8 @@
         if wanted == self._wanted:
             return
         self._wanted = wanted
+        self._wanted_at = self.reactor.seconds()
+        self._book.forget_others(label_version(*wanted))
         self._digests = []
         self._chunks = {}
         self._whole = False
@@ -332,11 +342,9 @@
 
     async def _begin_version(self, model: str, version: int) -> None:
         """Learn the digests, and which chunks the engine has staged already."""
-        origin = self._find_origin()
-        if origin is None:
-            return
-        digests = await origin.read_digests(model, version)
-        if self._wanted != (model, version):
+        label = label_version(model, version)
+        digests = self._book.find(label) or await self._read_digests(model, version)
+        if not digests or self._wanted != (model, version):
             return
         held = await self._recover(model, digests)
         if self._wanted != (model, version):
@@ -345,14 +353,39 @@
         assert spec is not None
         self._digests = digests
         self._tell(LimitsKnown(ORIGIN_COPIES, self._rate))
-        label = label_version(model, version)
         self._tell(WeightsWanted(Digest(""), 0))
         self._tell(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
         logger.info("version begun", extra={"model": model, "version": version, "held": len(held)})
 
+    async def _read_digests(self, model: str, version: int) -> list[bytes]:
+        """Return the origin's digests; none where a neighbour is to tell them."""
+        label = label_version(model, version)
+        origin = self._find_origin()
+        waited = self.reactor.seconds() - self._wanted_at
+        if origin is None or not self._book.may_ask(label, waited):
+            return []
+        digests = await origin.read_digests(model, version)
+        if self._book.keep(label, digests, from_origin=True):
+            self._send_digests(list(self._streams))
+        return digests
+
+    def _take_digests(self, message: DigestsTold) -> None:
+        label = label_version(*self._wanted)
+        if message.label != label or not self._book.keep(label, message.digests, False):
+            return
+        logger.info("digests learnt from a peer", extra={"version": self._wanted[1]})
+        self._send_digests(list(self._streams))
+        self._reported_at = float("-inf")
+
+    def _send_digests(self, peers: list[InstanceId]) -> None:
+        label = label_version(*self._wanted)
+        digests = self._book.find(label)
+        for peer in peers if digests else ():
+            self._send(peer, DigestsTold(label, digests or []))
+
     async def _recover(self, model: str, digests: list[bytes]) -> set[int]:
         """Return the chunks that are staged already; asked once for each start of the engine."""
-        held: set[int] = set()
+        held = self._list_matching(digests)
         if not self._may_hold:
             return held
         for index in sorted(await self._engine.list_staged(model)):
@@ -365,6 +398,13 @@
         self._may_hold = False
         return held
 
+    def _list_matching(self, digests: list[bytes]) -> set[int]:
+        held = set()
+        for index, data in self._chunks.items():
+            if index < len(digests) and hashlib.sha256(data).digest() == digests[index]:
+                held.add(index)
+        return held
+
     async def _check_staged(self, model: str, version: int) -> bool:
         """Read back what is staged; stage again what is missing or has changed."""
         digests = self._digests
@@ -431,6 +471,9 @@
         if hashlib.sha256(data).digest() != self._digests[index]:
             self._metrics.count("chunks_corrupted")
             logger.info("chunk corrupted", extra={"index": index, "source": source})
+            if source == ORIGIN and self._book.note_mismatch(Digest(digest), index):
+                logger.warning("digests in doubt", extra={"version": version, "index": index})
+                self._digests = []
             self._tell(ChunkFailed(Digest(digest), index, source))
             return
         self._metrics.count("chunks_from_peers" if source else "chunks_from_origin")
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -21,6 +21,7 @@
     ViewTold,
 )
 from coltsfootshift.messages.gateway import (
+    DigestsTold,
     EngineNotice,
     EntryRow,
     KnowledgeAsked,
@@ -79,6 +80,7 @@
     "ChunkRequest",
     "Credit",
     "Difference",
+    "DigestsTold",
     "EngineNotice",
     "EntryRow",
     "Fallbacks",
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -7,6 +7,7 @@
 from coltsfootshift.messages.base import Message
 
 __all__ = [
+    "DigestsTold",
     "EngineNotice",
     "EntryRow",
     "KnowledgeAsked",
@@ -89,3 +90,10 @@
     version: int
     loading: bool
     sent_at: float
+
+
+class DigestsTold(Message, frozen=True, array_like=True, tag="g-digests"):
+    """The SHA-256 digests of a version's chunks, in order, as the origin gave them."""
+
+    label: str
+    digests: list[bytes]
