Spend no allowance of retries before the others are known; try misdirected engines ever less

Ruled out: retries of the time before the restart; the window holds next to none. Change: the allowance counts from 2 s after the start; the block of a misdirected endpoint doubles up to 2 s and ends when its record tells other versions. Tests failed first.

--- a/src/coltsfootshift/gateway/budget.py
+++ b/src/coltsfootshift/gateway/budget.py
@@ -8,6 +8,7 @@
 
 __all__ = ["RetryBudget"]
 
+ALONE_SECONDS = 2.0  # until an entry that starts has heard of all others, twice the longest dial
 SAFE_SHARE = 0.7  # left unused: other entries start, leave and count windows at other moments
 
 
@@ -15,18 +16,20 @@
     """Keeps the retries of all entries below a share of the requests in every sliding window.
 
     Each entry spends at most its own requests' share and an equal part of the allowance, so that
-    the sum over all entries holds without a message for each retry.
+    the sum over all entries holds without a message for each retry. An entry that starts knows no
+    others yet and leaves the allowance alone; `started_at` is when that was.
 
-    >>> budget = RetryBudget(ratio=0.2, allowance=10.0, window=10.0)
+    >>> budget = RetryBudget(ratio=0.2, allowance=10.0, window=10.0, started_at=0.0)
     >>> budget.set_entries(5)
-    >>> [budget.take(ServiceName("s"), 1.0) for _ in range(2)]
-    [True, False]
+    >>> [budget.take(ServiceName("s"), at) for at in (1.0, 3.0, 3.0)]
+    [False, True, False]
     """
 
-    def __init__(self, ratio: float, allowance: float, window: float) -> None:
+    def __init__(self, ratio: float, allowance: float, window: float, started_at: float) -> None:
         self._ratio = ratio
         self._allowance = allowance
         self._window = window
+        self._allowed_at = started_at + ALONE_SECONDS
         self._entries = 1
         self._requests: dict[ServiceName, deque[float]] = {}
         self._retries: dict[ServiceName, deque[float]] = {}
@@ -54,5 +57,5 @@
         for times in (requests, retries):
             while times and times[0] <= now - self._window:
                 times.popleft()
-        whole = self._ratio * len(requests) + self._allowance / self._entries
-        return SAFE_SHARE * whole
+        share = self._allowance / self._entries if now >= self._allowed_at else 0.0
+        return SAFE_SHARE * (self._ratio * len(requests) + share)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -22,7 +22,6 @@
 SILENCE_SECONDS = (
     1.5  # beyond three times the longest pause aimed at; a lost endpoint stalls as long
 )
-MISDIRECTED_BLOCK_SECONDS = 0.3  # until the store tells which endpoint has the address now
 MISDIRECTED = 421
 PROMISES = frozenset({408, 421, 429, 503})  # callers take these as a promise that nothing has run
 
@@ -265,8 +264,7 @@
         self.runs -= 1
         self._cancel_order(keep=True)
         if head.status == MISDIRECTED:
-            attempt.state.note_dropped(self.request)
-            attempt.state.blocked_until = now + MISDIRECTED_BLOCK_SECONDS
+            attempt.state.note_misdirected(self.request, now)
         else:
             attempt.state.note_full(self.request, now)
         self._retry(attempt, f"not run, status {head.status}")
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -145,6 +145,19 @@
         self._others_at = now
         self.blocked_until = max(self.blocked_until, now + FULL_BLOCK_SECONDS)
 
+    def note_misdirected(self, request: RequestId, now: float) -> None:
+        """The endpoint is another one, or serves another version, than its record says."""
+        self._own.pop(request, None)
+        self.blocked_until = max(self.blocked_until, now + self._block)
+        self._block = min(MOST_BLOCK_SECONDS, self._block * 2)
+
+    def set_record(self, record: EndpointRecord) -> None:
+        """Take what is told of the endpoint now; other versions than before end a block."""
+        if record.versions != self.record.versions:
+            self.blocked_until = 0.0
+            self._block = FIRST_BLOCK_SECONDS
+        self.record = record
+
     def note_failed(self, request: RequestId, now: float) -> None:
         """An order failed at the endpoint; it is tried again after a growing delay."""
         self._own.pop(request, None)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -85,7 +85,7 @@
         self._checks: list[Check] = [RouteCheck(rng), KeyCheck(bounds.revoke_within), LimitCheck()]
         self._placement = Placement(domain, rng)
         self._budget = RetryBudget(
-            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window
+            bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window, reactor.seconds()
         )
         self._states: dict[InstanceId, EndpointState] = {}
         self._pools: dict[InstanceId, LinkPool] = {}
@@ -246,7 +246,7 @@
             state = EndpointState(record, spec.engine)
             self._states[name] = state
             self._pools[name] = LinkPool(self.reactor, record.address, self._dialect, self._source)
-        state.record = record
+        state.set_record(record)
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entries)
         self._pools[name].most_open = max(1, share)
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -9,6 +9,7 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
+from coltsfootshift.gateway.budget import ALONE_SECONDS, RetryBudget
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.knowledge import ItemDecoder, Knowledge, Table, TableAnswer
 from coltsfootshift.gateway.model import (
@@ -30,13 +31,21 @@
 KEY = "key-1"
 TIMEOUT = 1.0
 ENGINE = EngineSpec(16, 0.00887, 0.0000388, 19100.0, 5, 48, 49152, 977.0, 94.0, ("m",))
-BOUNDS = GatewayBounds(3.0, 5.0, 8.0, 0.2, 100.0, 10.0)
+BUDGET = (0.2, 100.0, 10.0)
+BOUNDS = GatewayBounds(3.0, 5.0, 8.0, *BUDGET)
 
 
 class _Handle:
+    closed = False
+
     def setsockopt(self, *args):
         pass
 
+    def recv(self, size, flags):
+        if self.closed:
+            return b""
+        raise BlockingIOError
+
 
 class Transport(StringTransport):
     """A connection's end that remembers how it was ended."""
@@ -45,9 +54,10 @@
         super().__init__()
         self.aborted = False
         self.protocol = None
+        self.handle = _Handle()
 
     def getHandle(self):
-        return _Handle()
+        return self.handle
 
     def setTcpNoDelay(self, on):
         pass
@@ -146,6 +156,8 @@
             Metrics(),
             Random(seed),
         )
+        # An entry that has been up for long enough to know the others.
+        self.gateway._budget = RetryBudget(*BUDGET, started_at=-ALONE_SECONDS)
         self.gateway.start()
         self.gateway.refresh()
         self.factory = CallerFactory(self.gateway, self.clock)
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import pytest
 from gateway_harness import (
     TIMEOUT,
@@ -377,3 +379,22 @@
     assert read_status(caller) == 503
     after = float(head.partition(b"retry-after: ")[2].partition(b"\r\n")[0])
     assert after >= LEAST_RETURN_SECONDS
+
+
+def test_misdirected_orders_come_ever_less_until_the_record_changes():
+    harness = GatewayHarness(endpoints=0, engines=1)
+    headers = ("X-Model: m", "X-Token-Counts: 100,50")
+    engine, orders = None, 0
+    for number in range(400):
+        harness.call("model", headers=headers, request=f"r-{number}")
+        engine = harness.accept() or engine
+        while engine.value():
+            orders += 1
+            request = re.search(rb"(?i)x-attempt-id: (\S+)", engine.take()).group(1).decode()
+            engine.protocol.dataReceived(make_answer(status=421, request=request))
+        harness.clock.advance(0.01)
+        harness.confirm()
+    assert 3 <= orders <= 6
+    harness.add_endpoint("m-0", "llm", 180, {"m": 2})
+    harness.gateway.refresh()
+    assert engine.value()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -31,7 +31,7 @@
 @settings(max_examples=200, deadline=None)
 @given(steps)
 def test_retries_of_all_entries_stay_within_the_budget_in_every_window(steps):
-    budgets = [RetryBudget(RATIO, ALLOWANCE, WINDOW) for _ in range(4)]
+    budgets = [RetryBudget(RATIO, ALLOWANCE, WINDOW, 0.0) for _ in range(4)]
     for budget in budgets:
         budget.set_entries(len(budgets))
     now, requests, retries = 0.0, [], []
@@ -50,6 +50,15 @@
             assert again <= RATIO * max(asked, before) + ALLOWANCE
 
 
+def test_entries_that_start_at_once_and_know_no_others_stay_within_the_budget():
+    budgets = [RetryBudget(RATIO, ALLOWANCE, WINDOW, started_at=5.0) for _ in range(16)]
+    taken = sum(budget.take(SERVICE, 5.0 + at / 10) for budget in budgets for at in range(20))
+    for budget in budgets:
+        budget.set_entries(len(budgets))
+    taken += sum(budget.take(SERVICE, 7.1) for budget in budgets for _ in range(200))
+    assert taken <= ALLOWANCE
+
+
 def make_waiting(name, priority=1, due=1.0, late=False, arrived_at=0.0):
     return Waiting(name, priority, arrived_at, due, 6.0, late)
 
