Count a version found at the start from the start of the process

Cause: a process that has just started may answer by an older version while it is not yet in touch, for contact_within after its start. Change: learnt_at of such a version is the start of the process, less 1 s for interpreter and imports. The test failed before (there was no such argument).

--- a/src/coltsfootshift/gateway/knowledge.py
+++ b/src/coltsfootshift/gateway/knowledge.py
@@ -66,7 +66,7 @@
     """A version of a model's weights that engines are to serve, and when this was learnt.
 
     `at_start` is set where a process found it on its first read: how long ago it was named is
-    not known then.
+    not known then, and `learnt_at` is when the process started.
     """
 
     model: str
@@ -133,7 +133,8 @@
     entries may have lapsed although they live.
     """
 
-    def __init__(self, decoder: ItemDecoder) -> None:
+    def __init__(self, decoder: ItemDecoder, started_at: float = 0.0) -> None:
+        self._started_at = started_at
         self.catalogue: GatewayCatalogue | None = None
         self.endpoints: dict[InstanceId, EndpointRecord] = {}
         self.named: dict[str, list[WantedVersion]] = {}
@@ -276,7 +277,8 @@
             return
         at_start = self._first_answer
         named = self.named.setdefault(model, [])
-        named.append(WantedVersion(model, version, now, at_start))
+        since = self._started_at if at_start else now
+        named.append(WantedVersion(model, version, since, at_start))
         del named[:-MOST_NAMED]
         logger.info(
             "weights named", extra={"model": model, "version": version, "at_start": at_start}
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -56,6 +56,7 @@
 ACCEPT_AFTER_LEAVING_SECONDS = 4.0  # callers that kept an address come for about two answers' lives
 STOP_MARGIN_SECONDS = 0.7  # before the platform kills the process
 CHECK_SECONDS = 0.1
+START_UP_SECONDS = 1.0  # an interpreter and its imports take half a second on a machine's share
 # Readers confirm every 1.5 s and tell it every 0.5 s; a leaving endpoint must be known in 2 s.
 TAKE_OVER_SECONDS = 1.8
 # A change has two seconds to be in force, so a lost peer shows and is dialled again within that.
@@ -102,7 +103,7 @@
         self.reactor = reactor
         self.place = place
         self.metrics = Metrics()
-        self.known = Knowledge(decoder)
+        self.known = Knowledge(decoder, reactor.seconds() - START_UP_SECONDS)
         self.roster = roster
         self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
         self.leaving_since: float | None = None
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -170,3 +170,9 @@
     tell(known, Table.ENDPOINTS, [("e-1", 5, make_engine(1, 1))], 5, 1.0)
     known.note_engine(AT_ENGINE, EngineNote(1, "m", 1, True, 2.0))
     assert known.endpoints["e-1"].versions == {}
+
+
+def test_version_found_at_the_start_counts_from_the_start_of_the_process():
+    known = Knowledge(PlainDecoder(), started_at=1.0)
+    tell(known, Table.OPERATOR, [("version/m", 5, b"2")], 5, 9.0, complete=True)
+    assert known.named["m"][0].learnt_at == 1.0
