--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -4,6 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
 import h11
@@ -12,9 +13,11 @@
 
 from coltsfootshift.gateway.calls import Headers
 from coltsfootshift.gateway.model import CallerLimits
+from coltsfootshift.logs import get_logger
 
 __all__ = ["CallerConnection", "CallerFactory", "CallHandler", "IncomingCall"]
 
+logger = get_logger("gateway.callers")
 
 _REASONS = {
     200: b"OK",
@@ -227,10 +230,23 @@
             self._stop_timer()
             body = b"".join(self._body)
             self._body = []
+            if self._has_left():
+                self.abort()
+                return
             call = IncomingCall(self, self._head, body, self._reactor.seconds())
             self._call = call
             self._handler.take_call(call)
 
+    def _has_left(self) -> bool:
+        """Whether the caller has closed; after a pause its request and its end wait together."""
+        try:
+            return self.transport.getHandle().recv(1, MSG_PEEK | MSG_DONTWAIT) == b""
+        except BlockingIOError:
+            return False
+        except OSError as error:
+            logger.info("caller lost before its request was read", extra={"cause": str(error)})
+            return True
+
     def _refuse(self, status: int) -> None:
         """Answer a request that cannot be read, then close."""
         self._refused = True
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -6,6 +6,7 @@
 
 import pytest
 from gateway_harness import (
+    KEY,
     TIMEOUT,
     GatewayHarness,
     make_answer,
@@ -381,6 +382,15 @@
     assert after >= LEAST_RETURN_SECONDS
 
 
+def test_request_of_a_caller_that_has_left_is_not_sent_on():
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.connect()
+    caller.handle.closed = True
+    head = f"GET /read/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: r-1\r\nX-Api-Key: {KEY}\r\n\r\n"
+    caller.protocol.dataReceived(head.encode())
+    assert harness.accept() is None and caller.aborted
+
+
 def test_misdirected_orders_come_ever_less_until_the_record_changes():
     harness = GatewayHarness(endpoints=0, engines=1)
     headers = ("X-Model: m", "X-Token-Counts: 100,50")
