--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -68,9 +68,7 @@
 LINK_SHARE = 0.92  # of the link; the rest is left to the answers that share it
 PART_BYTES = 4096  # an answer that shares the link waits for one part, about 7 ms at 4.7 Mbit/s
 LOAD_AHEAD_SECONDS = 1.5  # before the time is up: entries stop 1 s before it, the rest ends slowly
-ASKS_AT_ONCE = (
-    2  # each neighbour sends at the rate of its own link, so more of them fill this one's
-)
+ASKS_AT_ONCE = 2  # neighbours send at the rate of their links: more fill this one (DESIGN.md)
 ORIGIN_COPIES = 2  # an origin's link carries about three copies while one passes an agent's link
 LEAST_SERVING_SHARE = 0.5  # of the replicas; they keep serving while the others load
 FIRST_VERSION = 1  # serves until an operator names another
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -66,7 +66,8 @@
         self.fields = fields
         self.ports = [int(address.rsplit(":", 1)[1]) for address in fields["listen"].values()]
         self.logs: list[Path] = []
-        self.expected_down = False
+        self.faults: list[str] = []
+        self._may_end = True
         self._folder = folder
         self._program: Program | None = None
 
@@ -74,34 +75,43 @@
         """Start the program, unless it runs."""
         if self.alive:
             return
+        if self.ended_itself:
+            self.faults.append(f"{self.name} ended by itself")
         settings = write_settings(self._folder / f"{self.name}.toml", self.fields)
         log = self._folder / f"{self.name}-{len(self.logs)}.log"
         self.logs.append(log)
         self._program = Program(self.role, settings, log)
-        self.expected_down = False
+        self._may_end = False
 
     @property
     def alive(self) -> bool:
         """Whether the program runs."""
         return self._program is not None and self._program.process.poll() is None
 
+    @property
+    def ended_itself(self) -> bool:
+        """Whether the program ended though no signal told it to."""
+        return not self.alive and not self._may_end
+
     def send(self, number: signal.Signals) -> None:
         """Send a signal to the program."""
         if number in (signal.SIGKILL, signal.SIGTERM):
-            self.expected_down = True
+            self._may_end = True
         if self.alive:
             assert self._program is not None
             self._program.process.send_signal(number)
 
     def end(self) -> None:
         """End the program."""
-        self.expected_down = True
+        self._may_end = True
         if self._program is not None:
             self._program.end()
 
     def list_errors(self) -> list[str]:
-        """Return the lines of the logs that tell of a fault of the program itself."""
-        found = []
+        """Return faults of the program itself: ends that nobody asked for, lines of its logs."""
+        found = list(self.faults)
+        if self.ended_itself:
+            found.append(f"{self.name} ended by itself")
         for log in self.logs:
             for line in log.read_text("utf-8", "replace").splitlines():
                 if not line.startswith("{"):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -64,6 +64,8 @@
             caller.start()
         _play(fleet, result.plan)
         _check_recovery(fleet, result, Caller(fleet, f"p{seed}", seed, False))
+        for member in fleet.members:
+            result.broken += member.list_errors()
     finally:
         for caller in callers:
             caller.stopped.set()
@@ -72,8 +74,6 @@
                 caller.join(10)
         fleet.close()
     result.broken += fleet.ledger.list_broken()
-    for member in fleet.members:
-        result.broken += member.list_errors()
     for call in fleet.ledger.calls.values():
         result.outcomes[f"{call.kind.value} {call.status}"] += 1
     return result
