End the process that an interrupt finds half started

Shown by a test that raises the signal there; it failed for both signals before. Ruled out: a slow end (the process still ran seven minutes later, under init). Change: interrupts wait until the process is among the fleet's members.

--- a/src/coltsfootshift_bench/fleet.py
+++ b/src/coltsfootshift_bench/fleet.py
@@ -9,8 +9,11 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.request
+from collections.abc import Iterator
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
@@ -276,10 +279,10 @@
 
     def _spawn(self, name: str, host: str, kind: str, command: list[str]) -> Member:
         log_path = self.folder / f"{name}.log"
-        with log_path.open("ab") as log:
+        with log_path.open("ab") as log, _put_off_interrupts():
             process = subprocess.Popen(command, stdout=log, stderr=log, start_new_session=True)
-        member = Member(name, host, kind, process, command, log_path)
-        self.members[name] = member
+            member = Member(name, host, kind, process, command, log_path)
+            self.members[name] = member
         return member
 
     def _make_settings(self, name: str, host: str, region: str, domain: str) -> dict[str, Any]:
@@ -312,6 +315,25 @@
         return record
 
 
+@contextmanager
+def _put_off_interrupts() -> Iterator[None]:
+    """Let interrupts wait, so that a process that is being started is known before they act."""
+    if threading.current_thread() is not threading.main_thread():
+        yield  # signals reach the main thread only
+        return
+    waiting: list[int] = []
+    handlers = {}
+    for number in (signal.SIGINT, signal.SIGTERM):
+        handlers[number] = signal.signal(number, lambda found, _: waiting.append(found))
+    try:
+        yield
+    finally:
+        for number, handler in handlers.items():
+            signal.signal(number, handler)
+        if waiting:
+            signal.raise_signal(waiting[0])
+
+
 def call_json(url: str, content: Any = None, method: str | None = None) -> Any:
     """Call a JSON page; POST where there is content."""
     data = None if content is None else json.dumps(content).encode()
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -8,10 +8,13 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import psutil
 import pytest
 
+from coltsfootshift_bench.fleet import Fleet
+
 COMMAND = [sys.executable, "-m", "coltsfootshift_bench.main", "demo"]
 
 
@@ -39,3 +42,25 @@
     assert process.wait(30) == 130
     left = [child for child in children if child.is_running()]
     assert left == []
+
+
+@pytest.mark.parametrize("number", [signal.SIGINT, signal.SIGTERM])
+def test_process_that_an_interrupt_finds_half_started_is_ended(
+    number: signal.Signals, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    started: list[subprocess.Popen[bytes]] = []
+    popen = subprocess.Popen
+
+    def start_and_interrupt(*args: Any, **options: Any) -> subprocess.Popen[bytes]:
+        started.append(popen(*args, **options))
+        signal.raise_signal(number)
+        return started[0]
+
+    before = signal.signal(number, signal.default_int_handler)
+    try:
+        with pytest.raises(KeyboardInterrupt), Fleet(seed=1) as fleet:
+            monkeypatch.setattr(subprocess, "Popen", start_and_interrupt)
+            fleet.start_endpoint("ledger-1", "ledger")
+    finally:
+        signal.signal(number, before)
+    assert started[0].poll() is not None
