--- a/src/coltsfootshift/controllers/pulls.py
+++ b/src/coltsfootshift/controllers/pulls.py
@@ -133,8 +133,8 @@
         """Return whether this instance may take a chunk from a region.
 
         Its own region always; another only for a chunk that has not come into the region, where
-        it is this instance's turn. Any region that holds the chunk will do: waiting for one of
-        them would put the regions in a row.
+        it is this instance's turn, and from the region before in the chunk's order. After a
+        further interval without progress any region will do.
         """
         if region == self._region:
             return True
@@ -142,7 +142,11 @@
         idle = now - self.grew_at
         if exists:
             return now - self.stored_at >= (rank + 2) * self.take_over
-        return idle >= rank * self.take_over
+        if idle < rank * self.take_over:
+            return False
+        if region == self._duties.previous[index]:
+            return True
+        return idle >= (rank + 1) * self.take_over
 
     def _assign(self, holdings: Holdings) -> None:
         places = {name: place for name, place in self._places.items() if name not in self._lost}
