Look for a pause before each event and each order of the loader

Cause: a process that wakes handles the answers that wait in its sockets before its timers, so that a last staged chunk, or the answer about what is staged, still ordered the version of before the pause; the pause was seen only on the next tick. Found while tracing tests/test_weights_fleet.py::test_frozen_agent_wakes, which failed once with one load too many; no log of that run shows that it was this. Change: Loader.tell and the order itself look for the pause. Bounds as before. The new test fails for both ways with the look taken out.

--- a/src/coltsfootshift/agent/loading.py
+++ b/src/coltsfootshift/agent/loading.py
@@ -13,6 +13,7 @@
     ActivationController,
     LoadRefused,
     OrderLoad,
+    ProcessPaused,
     SpreadServing,
     StagingLost,
 )
@@ -25,6 +26,8 @@
 
 __all__ = ["Loader"]
 
+PAUSE_SECONDS = 2.0  # without a tick; ticks come many times a second
+
 logger = get_logger("agent.loading")
 
 
@@ -33,6 +36,8 @@
 
     `lose_staged` is called with a digest whose staged chunks the engine no longer has. States
     that neighbours are to be told gather in `take_news`; `on_news` tells of the first of them.
+    A process that wakes from a pause finds answers that wait before its timers run, so the pause
+    is looked for before each event and each order, not only on a tick.
     """
 
     def __init__(
@@ -52,9 +57,29 @@
         self._lock = lock
         self._lose_staged = lose_staged
         self._news: dict[InstanceId, ServingState] = {}
+        self._ticked_at: float | None = None
+
+    def tick(self) -> None:
+        """Note that the process runs."""
+        self._check_pause()
+        self._ticked_at = self._reactor.seconds()
 
     def tell(self, event: Event) -> None:
         """Hand an event to the controller and carry out what follows."""
+        self._check_pause()
+        self._handle(event)
+
+    def _check_pause(self) -> bool:
+        """Return whether the process did not run for a while; the controller is told once."""
+        now = self._reactor.seconds()
+        if self._ticked_at is None or now - self._ticked_at <= PAUSE_SECONDS:
+            return False
+        self._ticked_at = now
+        self._metrics.count("pauses")
+        self._handle(ProcessPaused())
+        return True
+
+    def _handle(self, event: Event) -> None:
         before = self.controller.phase
         for action in self.controller.handle(event, self._reactor.seconds()):
             if isinstance(action, OrderLoad):
@@ -87,6 +112,9 @@
         deferred.addErrback(self._note_refusal)
 
     def _load(self, staged: frozenset[int], order: LoadOrder) -> Any:
+        if self._check_pause():
+            self.tell(LoadRefused())
+            return None
         if order.digest != self.controller.wanted:
             return None
         if len(staged) < order.chunks:
--- a/src/coltsfootshift/agent/weights.py
+++ b/src/coltsfootshift/agent/weights.py
@@ -17,7 +17,6 @@
     ActivationPhase,
     EngineReported,
     PeerServes,
-    ProcessPaused,
     ReplicasKnown,
     VersionStaged,
     VersionWanted,
@@ -78,7 +77,6 @@
 
 TICK_SECONDS = 0.1
 SPREAD_SECONDS = 0.02
-PAUSE_SECONDS = 2.0
 SPARE_COPIES = 1
 
 logger = get_logger("agent.weights")
@@ -124,7 +122,6 @@
         self._others_staged = False
         self._recovering = Digest("")
         self._wanted = Digest("")
-        self._ticked_at: float | None = None
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
         mesh.subscribe(self)
@@ -199,11 +196,7 @@
             stream.abort(f"sent {type(message).__name__} on a weights stream")
 
     def _tick(self) -> None:
-        now = self.reactor.seconds()
-        if self._ticked_at is not None and now - self._ticked_at > PAUSE_SECONDS:
-            self._context.metrics.count("pauses")
-            self._loader.tell(ProcessPaused())
-        self._ticked_at = now
+        self._loader.tick()
         self._manifests.tick()
         self._tell(WeightsTick())
         if self._loader.controller.phase is ActivationPhase.LOADING:
--- /dev/null
+++ b/tests/test_loading.py
@@ -0,0 +1,63 @@
+"""Loading: what a process that wakes from a pause finds waiting brings no old version back."""
+
+from __future__ import annotations
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.task import Clock
+
+from coltsfootshift.agent.loading import PAUSE_SECONDS, Loader
+from coltsfootshift.controllers.activation import PAUSE_HOLD_SECONDS, VersionStaged, VersionWanted
+from coltsfootshift.ids import Digest, InstanceId
+from coltsfootshift.metrics import Metrics
+
+OLD, NEW = Digest("old"), Digest("new")
+CHUNKS = 2
+
+
+class Engine:
+    """An engine that has staged all and answers when the test says so."""
+
+    def __init__(self):
+        self.asked = []
+        self.loaded = []
+
+    def list_staged(self, digest):
+        self.asked.append(Deferred())
+        return self.asked[-1]
+
+    def load(self, order):
+        self.loaded.append(order.digest)
+        return succeed(None)
+
+
+class Lock:
+    def acquire(self):
+        return True
+
+
+@pytest.mark.parametrize("pause", [PAUSE_SECONDS + 1.0, 0.1], ids=["paused", "running"])
+@pytest.mark.parametrize("waits", ["staged", "answer"])
+def test_what_waited_for_a_paused_process_orders_nothing_old(pause, waits):
+    clock, engine = Clock(), Engine()
+    loader = Loader(InstanceId("a"), clock, Metrics(), engine, Lock(), lambda digest: None)
+    loader.tick()
+    loader.tell(VersionWanted(OLD, 1))
+    if waits == "answer":
+        loader.tell(VersionStaged(OLD, CHUNKS))
+    clock.advance(pause)
+    if waits == "staged":
+        loader.tell(VersionStaged(OLD, CHUNKS))
+    for answer in engine.asked:
+        answer.callback(frozenset(range(CHUNKS)))
+    paused = pause > PAUSE_SECONDS
+    assert engine.loaded == ([] if paused else [OLD])
+    loader.tell(VersionWanted(NEW, 2))
+    loader.tell(VersionStaged(NEW, CHUNKS))
+    clock.advance(PAUSE_HOLD_SECONDS / 2)
+    loader.tick()
+    clock.advance(PAUSE_HOLD_SECONDS / 2)
+    loader.tick()
+    loader.tell(VersionStaged(NEW, CHUNKS))
+    engine.asked[-1].callback(frozenset(range(CHUNKS)))
+    assert engine.loaded[-1] == NEW
