Move the transfer of chunks out of the rollout task

ChunkTransfers holds the chunks of a version, sends them in parts and puts them together; the statements are those of before.

--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -41,6 +41,7 @@
 from coltsfootshift.gateway.engines import EngineReport, LocalEngine, PortError, VersionOrigin
 from coltsfootshift.gateway.knowledge import Knowledge
 from coltsfootshift.gateway.model import EngineSpec
+from coltsfootshift.gateway.transfers import ChunkTransfers
 from coltsfootshift.gateway.versions import VersionPlan
 from coltsfootshift.ids import Digest, InstanceId, Purpose, ServiceName
 from coltsfootshift.logs import get_logger
@@ -66,7 +67,6 @@
 REPORT_SECONDS = 0.25  # an engine's own report is free on its machine
 REPEAT_ORDER_SECONDS = 1.0  # an order without an answer may have been accepted; reports tell
 LINK_SHARE = 0.92  # of the link; the rest is left to the answers that share it
-PART_BYTES = 4096  # an answer that shares the link waits for one part, about 7 ms at 4.7 Mbit/s
 LOAD_AHEAD_SECONDS = 1.5  # before the time is up: entries stop 1 s before it, the rest ends slowly
 ASKS_AT_ONCE = 4  # chunks on their way delay the requests that share the link
 ORIGIN_COPIES = 2  # an origin's link carries about three copies while one passes an agent's link
@@ -115,7 +115,8 @@
         self._service = service
         self._place = place
         self._regions = regions
-        self._rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+        rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
+        self._transfers = ChunkTransfers(self.reactor, rate, self._send, self._note_sent)
         self._version_within = version_within
         self._metrics = metrics
         self._tell_entries = tell
@@ -129,8 +130,6 @@
         self._wanted: tuple[str, int] = ("", 0)
         self._wanted_at = 0.0
         self._digests: list[bytes] = []
-        self._chunks: dict[int, bytes] = {}
-        self._parts: dict[tuple[InstanceId, int], bytearray] = {}
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
         self._whole = False
@@ -170,8 +169,7 @@
         """Drop a neighbour."""
         if self._streams.get(stream.peer_id) is stream:
             del self._streams[stream.peer_id]
-            for key in [key for key in self._parts if key[0] == stream.peer_id]:
-                del self._parts[key]
+            self._transfers.forget_peer(stream.peer_id)
             self._tell(NeighbourClosed(stream.peer_id))
 
     def stream_received(self, stream: PeerStream, message: Message) -> None:
@@ -188,7 +186,9 @@
         elif isinstance(message, ChunkRefused):
             self._tell(ChunkFailed(Digest(message.digest), message.index, peer))
         elif isinstance(message, ChunkPart):
-            self._take_part(peer, message)
+            data = self._transfers.take_part(peer, message)
+            if data is not None:
+                self._take_chunk(message.digest, message.index, data, peer)
         elif isinstance(message, ServingNotice):
             self._take_states(message)
         elif isinstance(message, DigestsTold):
@@ -241,7 +241,7 @@
         self._wanted_at = self.reactor.seconds()
         self._book.forget_others(label_version(*wanted))
         self._digests = []
-        self._chunks = {}
+        self._transfers.begin(label_version(*wanted))
         self._whole = False
         self._ordered_at = float("-inf")
         self._reported_at = float("-inf")
@@ -352,7 +352,7 @@
         spec = self._find_spec()
         assert spec is not None
         self._digests = digests
-        self._tell(LimitsKnown(ORIGIN_COPIES, self._rate))
+        self._tell(LimitsKnown(ORIGIN_COPIES, self._transfers.rate))
         self._tell(WeightsWanted(Digest(""), 0))
         self._tell(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
         logger.info("version begun", extra={"model": model, "version": version, "held": len(held)})
@@ -385,7 +385,7 @@
 
     async def _recover(self, model: str, digests: list[bytes]) -> set[int]:
         """Return the chunks that are staged already; asked once for each start of the engine."""
-        held = self._list_matching(digests)
+        held = self._transfers.list_matching(digests)
         if not self._may_hold:
             return held
         for index in sorted(await self._engine.list_staged(model)):
@@ -393,18 +393,11 @@
                 continue
             data = await self._engine.read_staged(model, index)
             if hashlib.sha256(data).digest() == digests[index]:
-                self._chunks[index] = data
+                self._transfers.keep(index, data)
                 held.add(index)
         self._may_hold = False
         return held
 
-    def _list_matching(self, digests: list[bytes]) -> set[int]:
-        held = set()
-        for index, data in self._chunks.items():
-            if index < len(digests) and hashlib.sha256(data).digest() == digests[index]:
-                held.add(index)
-        return held
-
     async def _check_staged(self, model: str, version: int) -> bool:
         """Read back what is staged; stage again what is missing or has changed."""
         digests = self._digests
@@ -420,7 +413,7 @@
                 return False
             self._metrics.count("chunks_staged_again")
             logger.warning("staged chunk was spoilt", extra={"index": index})
-            await self._engine.stage(model, index, self._chunks[index])
+            await self._engine.stage(model, index, self._transfers.get_chunk(index))
         return True
 
     def _tell(self, event: Event) -> None:
@@ -433,7 +426,8 @@
         elif isinstance(action, AskChunk):
             self._send(action.peer, ChunkRequest(action.digest, action.index))
         elif isinstance(action, SendChunk):
-            self._plan_upload(action)
+            spec = self._find_spec()
+            self._transfers.plan(action, spec.chunk_bytes if spec else 0)
         elif isinstance(action, RefuseChunk):
             self._send(action.peer, ChunkRefused(action.digest, action.index))
         elif isinstance(action, SendBits):
@@ -485,43 +479,13 @@
 
     def _keep_chunk(self, digest: str, index: int, data: bytes, source: InstanceId) -> None:
         if digest == label_version(*self._wanted):
-            self._chunks[index] = data
+            self._transfers.keep(index, data)
             self._tell(ChunkStored(Digest(digest), index, source))
 
-    def _plan_upload(self, action: SendChunk) -> None:
-        """Send a chunk in parts while the link carries it, so that answers pass between them."""
-        spec = self._find_spec()
-        seconds = spec.chunk_bytes / self._rate if spec else 0.0
-        begin = max(0.0, action.delay - seconds)
-        self.reactor.callLater(begin, self._upload, action, 0)
-
-    def _upload(self, action: SendChunk, offset: int) -> None:
-        data = self._chunks.get(action.index)
-        if data is None or action.digest != label_version(*self._wanted):
-            self._send(action.peer, ChunkRefused(action.digest, action.index))
-            self._tell(ChunkSent(action.peer))
-            return
-        part = data[offset : offset + PART_BYTES]
-        end = offset + len(part)
-        message = ChunkPart(action.digest, action.index, offset, len(data), part)
-        self._send(action.peer, message)
-        if end < len(data):
-            self.reactor.callLater(len(part) / self._rate, self._upload, action, end)
-            return
-        self._metrics.count("chunks_sent")
-        self._tell(ChunkSent(action.peer))
-
-    def _take_part(self, peer: InstanceId, message: ChunkPart) -> None:
-        """Put a chunk together; its parts come in order on one stream."""
-        parts = self._parts.setdefault((peer, message.index), bytearray())
-        if message.offset == 0:
-            parts.clear()
-        if message.offset == len(parts):
-            parts.extend(message.data)
-        if message.offset + len(message.data) < message.total:
-            return
-        del self._parts[peer, message.index]
-        self._take_chunk(message.digest, message.index, bytes(parts), peer)
+    def _note_sent(self, peer: InstanceId, sent: bool) -> None:
+        if sent:
+            self._metrics.count("chunks_sent")
+        self._tell(ChunkSent(peer))
 
     def _take_states(self, message: ServingNotice) -> None:
         news = []
--- /dev/null
+++ b/src/coltsfootshift/gateway/transfers.py
@@ -0,0 +1,100 @@
+"""Chunks of one version in memory: sent to other agents in parts, put together from parts."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+from typing import Any
+
+from coltsfootshift.controllers.chunks import SendChunk
+from coltsfootshift.ids import Digest, InstanceId
+from coltsfootshift.messages import ChunkPart, ChunkRefused, Message
+
+__all__ = ["ChunkTransfers"]
+
+PART_BYTES = 4096  # an answer that shares the link waits for one part, about 7 ms at 4.7 Mbit/s
+
+
+class ChunkTransfers:
+    """Holds the chunks of the version `label` and moves them in parts.
+
+    `rate` is in bytes a second; parts leave while the link carries them, so that answers pass
+    between them. `send` sends a message to an agent, `note_sent` is told whom a chunk has gone to,
+    or to whom it was refused since it is held no more.
+    """
+
+    def __init__(
+        self,
+        reactor: Any,
+        rate: float,
+        send: Callable[[InstanceId, Message], None],
+        note_sent: Callable[[InstanceId, bool], None],
+    ) -> None:
+        self.rate = rate
+        self._reactor = reactor
+        self._send = send
+        self._note_sent = note_sent
+        self._label = Digest("")
+        self._chunks: dict[int, bytes] = {}
+        self._parts: dict[tuple[InstanceId, int], bytearray] = {}
+
+    def __repr__(self) -> str:
+        return f"ChunkTransfers(label={self._label!r}, held={len(self._chunks)})"
+
+    def begin(self, label: Digest) -> None:
+        """Drop what is held, and hold chunks of another version from now on."""
+        self._label = label
+        self._chunks = {}
+
+    def get_chunk(self, index: int) -> bytes:
+        """Return a chunk that is held; raises `KeyError`."""
+        return self._chunks[index]
+
+    def keep(self, index: int, data: bytes) -> None:
+        """Hold a chunk that was checked."""
+        self._chunks[index] = data
+
+    def list_matching(self, digests: list[bytes]) -> set[int]:
+        """Return the chunks held that match their SHA-256 digests."""
+        held = set()
+        for index, data in self._chunks.items():
+            if index < len(digests) and hashlib.sha256(data).digest() == digests[index]:
+                held.add(index)
+        return held
+
+    def forget_peer(self, peer: InstanceId) -> None:
+        """Drop the parts that an agent has sent of unfinished chunks."""
+        for key in [key for key in self._parts if key[0] == peer]:
+            del self._parts[key]
+
+    def plan(self, action: SendChunk, chunk_bytes: int) -> None:
+        """Send a chunk such that its last part has passed after the action's delay."""
+        begin = max(0.0, action.delay - chunk_bytes / self.rate)
+        self._reactor.callLater(begin, self._send_part, action, 0)
+
+    def take_part(self, peer: InstanceId, message: ChunkPart) -> bytes | None:
+        """Return the chunk where this was its last part; parts come in order on one stream."""
+        parts = self._parts.setdefault((peer, message.index), bytearray())
+        if message.offset == 0:
+            parts.clear()
+        if message.offset == len(parts):
+            parts.extend(message.data)
+        if message.offset + len(message.data) < message.total:
+            return None
+        del self._parts[peer, message.index]
+        return bytes(parts)
+
+    def _send_part(self, action: SendChunk, offset: int) -> None:
+        data = self._chunks.get(action.index)
+        if data is None or action.digest != self._label:
+            self._send(action.peer, ChunkRefused(action.digest, action.index))
+            self._note_sent(action.peer, False)
+            return
+        part = data[offset : offset + PART_BYTES]
+        end = offset + len(part)
+        message = ChunkPart(action.digest, action.index, offset, len(data), part)
+        self._send(action.peer, message)
+        if end < len(data):
+            self._reactor.callLater(len(part) / self.rate, self._send_part, action, end)
+            return
+        self._note_sent(action.peer, True)
