--- a/src/coltsfootshift/cli/trace.py
+++ b/src/coltsfootshift/cli/trace.py
@@ -18,6 +18,7 @@
         "endpoint gone",
         "engine told",
         "entry silent",
+        "event loop stalled",
         "leaving",
         "readiness changed",
         "started",
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -35,6 +35,7 @@
 __all__ = ["Gateway", "GatewayBounds"]
 
 TICK_SECONDS = 0.02  # bounds the delay in noticing a free slot or an expired queued request
+STALL_LOG_SECONDS = 0.15  # a delay that uses up most of the margins below is logged
 VERSION_MARGIN_SECONDS = 1.0  # allows for the delay until a placed request starts
 CANCEL_MARGIN_SECONDS = 0.25  # an attempt needs up to this long to stop after cancellation
 # A deadline below this share of the longest seen on the route indicates a caller's retry.
@@ -97,6 +98,7 @@
         self._exchanges: set[Exchange] = set()
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
+        self._ticked_at = reactor.seconds()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
@@ -107,6 +109,7 @@
 
     def start(self) -> None:
         """Start the periodic task."""
+        self._ticked_at = self.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=False)
 
     @property
@@ -217,6 +220,7 @@
                 "outcome": outcome,
                 "runs": exchange.possible_runs,
                 "sends": exchange.send_count,
+                "version": exchange.version,
                 "seconds": round(now - exchange.admission.arrived_at, 3),
             },
         )
@@ -333,6 +337,8 @@
                 "own": state.own_in_flight,
                 "load": round(state.estimate_load(now), 1),
                 "predicted": round(state.predict_start(exchange.size, now), 3),
+                "version": record.versions.get(head.model),
+                "min_version": min_version,
             },
         )
         receiver = exchange.start_attempt(state)
@@ -391,6 +397,7 @@
 
     def _tick(self) -> None:
         now = self.reactor.seconds()
+        self._record_tick(now)
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now)):
                 queued.item.refuse(refusal)
@@ -405,6 +412,14 @@
             self.refresh()
         self._dispatch_all_queues()
 
+    def _record_tick(self, now: float) -> None:
+        """Log a late tick: a process that stood still or is short of processor time."""
+        delay = now - self._ticked_at - TICK_SECONDS
+        self._ticked_at = now
+        if delay > STALL_LOG_SECONDS:
+            self.metrics.count("loop_stalls")
+            logger.warning("event loop stalled", extra={"seconds": round(delay, 3)})
+
     def _dispatch_all_queues(self) -> None:
         for name in self._queues:
             self._dispatch_queue(name)
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field, replace
 from enum import Enum
+from math import isfinite
 
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
 from coltsfootshift.ids import InstanceId
@@ -185,6 +186,7 @@
             )
             return False
         first = state.revision == 0
+        age = now - state.confirmed_at
         if now - state.confirmed_at > MIN_OUTAGE_SECONDS + LEASE_EXPIRY_GRACE_SECONDS:
             state.reconnected_at = now
         state.revision = answer.revision
@@ -206,7 +208,7 @@
                 state.items.pop(item.key, None)
             else:
                 state.items[item.key] = item
-            self._apply_item(answer.table, item, now)
+            self._apply_item(answer.table, item, now, age)
         return changed
 
     def confirm(self, table: Table, revision: int, confirmed_at: float) -> None:
@@ -258,13 +260,13 @@
             logger.info("endpoint gone", extra={"endpoint": name, "cause": "lapsed"})
         return bool(expired)
 
-    def _apply_item(self, table: Table, item: Item, now: float) -> None:
+    def _apply_item(self, table: Table, item: Item, now: float, table_age: float) -> None:
         if table is Table.ENDPOINTS:
             self._apply_endpoint_item(item, now)
         elif item.value is not None:
-            self._apply_operator_item(item, now)
+            self._apply_operator_item(item, now, table_age)
 
-    def _apply_operator_item(self, item: Item, now: float) -> None:
+    def _apply_operator_item(self, item: Item, now: float, table_age: float) -> None:
         catalogue = self._decoder.read_catalogue(item)
         if catalogue is not None:
             if self.catalogue is None or catalogue.version >= self.catalogue.version:
@@ -288,7 +290,14 @@
         versions.append(WantedVersion(model, version, since, at_start))
         del versions[:-MAX_VERSIONS_PER_MODEL]
         logger.info(
-            "weights named", extra={"model": model, "version": version, "at_start": at_start}
+            "weights named",
+            extra={
+                "model": model,
+                "version": version,
+                "at_start": at_start,
+                "revision": item.revision,
+                "previous_age": round(table_age, 3) if isfinite(table_age) else None,
+            },
         )
 
     def _apply_endpoint_item(self, item: Item, now: float) -> None:
