--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -104,6 +104,13 @@
         return None
 
 
+class VersionDecoder(NullDecoder):
+    """Decodes items `version/MODEL`, whose value is the published version."""
+
+    def read_version(self, item):
+        return item.key.removeprefix("version/"), int(item.value)
+
+
 def make_route(name, kind, attempts=2, resumable=False, service="s", timeout=ROUTE_TIMEOUT_SECONDS):
     """Return a route with the path prefix `/NAME/`; `timeout` is in seconds."""
     target = WeightedTarget(ServiceName(service), 1.0)
@@ -135,12 +142,22 @@
     """Drives one gateway with the bytes of callers and endpoints, on a simulated clock.
 
     There are `endpoints` plain services `e-0`, `e-1`, ... and `engines` model engines `m-0`,
-    `m-1`, ..., which serve version 1 of model `m`.
+    `m-1`, ..., which serve version 1 of model `m`. Without `confirmed`, the gateway has heard
+    nothing of the store yet.
     """
 
-    def __init__(self, endpoints=2, engines=0, limits=None, seed=1, clock=None):
+    def __init__(
+        self,
+        endpoints=2,
+        engines=0,
+        limits=None,
+        seed=1,
+        clock=None,
+        decoder=None,
+        confirmed=True,
+    ):
         self.clock = clock or MemoryReactorClock()
-        self.tables = TableCache(NullDecoder())
+        self.tables = TableCache(decoder or NullDecoder())
         services = {
             ServiceName("s"): ServiceSpec(ServiceName("s"), 100),
             ServiceName("llm"): ServiceSpec(ServiceName("llm"), 300, ENGINE_SPEC),
@@ -156,7 +173,8 @@
             self.add_endpoint(f"e-{number}", "s", 80 + number)
         for number in range(engines):
             self.add_endpoint(f"m-{number}", "llm", 180 + number, {"m": 1})
-        self.confirm()
+        if confirmed:
+            self.confirm()
         self.gateway = Gateway(
             self.clock,
             self.tables,
