Count a version's limit from its publication, as seen by entries that noticed it

Cause: the limit was counted from when the entry itself learnt of the version. An entry that was frozen, suspended, or restarted with a peer's outdated table learns it seconds late, or its clock does not count the time, while the rule excuses only contact_within after its return. Change: entries report with their table revisions which versions they saw being published, and how long ago; each takes the earliest time known to anyone. A restarted entry that used contact_within after its start for want of a better time uses it too, and so no longer refuses what may still be served. Only times observed by a process that had followed the store without a break are reported, and without the transit delay: too high an age would end a version too soon everywhere.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -19,6 +19,7 @@
     EntryRow,
     Leaving,
     Message,
+    PublishedVersion,
     TableChanges,
     TableChangesRequest,
     TableItem,
@@ -60,8 +61,9 @@
 
     Entries send each other their roster rows and the revisions of their tables, so that an entry
     that cannot read from the store receives changes, and the time at which the store confirmed
-    them, from one that can. Agents receive this gossip but do not send it. The time in `sent_at`
-    bounds the age of the contents: a message delayed in a suspended process is treated as old.
+    them, from one that can. They also tell when they saw a version being published, for those that
+    learn of it late. Agents receive this gossip but do not send it. The time in `sent_at` bounds
+    the age of the contents: a message delayed in a suspended process is treated as old.
     """
 
     def __init__(
@@ -207,6 +209,10 @@
                 self._tables.confirm(table, cached, now - row.age - stream.transit_delay)
             elif row.revision > cached:
                 self._request_changes(stream, table, row.revision)
+        for published in message.published:
+            # Without the transit delay: an age that is too high would end the version too soon.
+            published_at = now - published.age
+            self._tables.record_publication(published.model, published.version, published_at)
 
     def _request_changes(self, stream: PeerStream, table: Table, revision: int) -> None:
         """Request the changes up to a revision that the peer has announced.
@@ -260,7 +266,11 @@
             if revision:
                 age = self._tables.measure_age(table, now)
                 rows.append(TableRevision(table.value, revision, age))
-        return TableRevisions(rows, now)
+        published = [
+            PublishedVersion(wanted.model, wanted.version, now - wanted.learnt_at)
+            for wanted in self._tables.list_observed_versions(now)
+        ]
+        return TableRevisions(rows, now, published)
 
     def _broadcast(self, message: Message) -> None:
         for streams in list(self._streams.values()):
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -332,8 +332,12 @@
             return True
         model, version = self._wanted
         for published in self._tables.wanted_versions.get(model, []):
-            if published.version == version:
-                return now >= published.learnt_at + self._version_within - LOAD_MARGIN_SECONDS
+            if published.version != version:
+                continue
+            since = published.published_by
+            if since is None:
+                since = published.learnt_at
+            return now >= since + self._version_within - LOAD_MARGIN_SECONDS
         return False
 
     def _handle_report(self, report: EngineReport) -> None:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -24,7 +24,7 @@
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, compute_departure_interval
-from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
+from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache, WantedVersion
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
 from coltsfootshift.logs import get_logger
@@ -294,13 +294,21 @@
         Each published version has its own deadline. Publishing another version while the previous
         one is being loaded does not postpone the previous one's deadline.
         """
-        bounds = self._bounds
         for wanted in reversed(self.tables.wanted_versions.get(exchange.admission.head.model, [])):
-            within = bounds.contact_within if wanted.at_start else bounds.version_within
-            if now >= wanted.learnt_at + within - margin:
+            if now >= self._compute_version_deadline(wanted) - margin:
                 return wanted.version
         return 0
 
+    def _compute_version_deadline(self, wanted: WantedVersion) -> float:
+        """Return when requests may no longer start on an older version.
+
+        It counts from the publication, whenever this process learnt of it. If nobody knows that
+        time, the version is due once this process is held to the limits after its start.
+        """
+        if wanted.published_by is None:
+            return wanted.learnt_at + self._bounds.contact_within
+        return wanted.published_by + self._bounds.version_within
+
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
         tried = exchange.tried
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass, field, replace
 from enum import Enum
-from math import isfinite
+from math import inf, isfinite
 
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
 from coltsfootshift.ids import InstanceId
@@ -27,6 +27,9 @@
 LEASE_EXPIRY_GRACE_SECONDS = 2.0
 MAX_VERSIONS_PER_MODEL = 16  # the latest versions of a model; their deadlines may still be pending
 ENGINE_STATUS_TTL_SECONDS = 3.0  # the engine's 1.2 s heartbeat to the store plus the store's lag
+# A table that was confirmed within this time before a change has been followed without a break.
+MAX_OBSERVED_AGE_SECONDS = 2.0
+MAX_SHARED_AGE_SECONDS = 60.0  # versions published before are due at every process
 MIN_OUTAGE_SECONDS = 1.0  # leases do not expire in a shorter outage of the store
 
 logger = get_logger("gateway.knowledge")
@@ -67,14 +70,31 @@
 class WantedVersion:
     """A published version of a model's weights, and when this process learnt of it.
 
-    `at_start` is set if the version was in the first answer that the process received. The time
-    of publication is unknown in that case, and `learnt_at` is the start time of the process.
+    `at_start` is set if the version was in the first answer that the process received; `learnt_at`
+    is the start time of the process in that case. `observed` is set if this process followed the
+    store when the version was published, so that `learnt_at` is about the time of publication.
+    `reported_at` is the earliest time of publication reported by other processes, infinite if none
+    was. Times are in seconds of this process's clock.
     """
 
     model: str
     version: int
     learnt_at: float
     at_start: bool = False
+    observed: bool = False
+    reported_at: float = inf
+
+    @property
+    def published_by(self) -> float | None:
+        """The earliest time at which the version is known to be published, None if unknown.
+
+        >>> WantedVersion("m", 2, learnt_at=6.0, reported_at=1.5).published_by
+        1.5
+        >>> WantedVersion("m", 2, learnt_at=6.0, at_start=True).published_by
+        """
+        if not self.at_start:
+            return min(self.learnt_at, self.reported_at)
+        return self.reported_at if isfinite(self.reported_at) else None
 
 
 @dataclass(frozen=True, slots=True)
@@ -220,6 +240,36 @@
         if revision == state.revision:
             state.confirmed_at = max(state.confirmed_at, confirmed_at)
 
+    def record_publication(self, model: str, version: int, published_at: float) -> None:
+        """Record when another process saw a version being published; the earliest time counts.
+
+        A version that is not in the cached table is ignored; it will be reported again.
+        """
+        versions = self.wanted_versions.get(model, [])
+        for index, wanted in enumerate(versions):
+            if wanted.version != version or published_at >= wanted.reported_at:
+                continue
+            known = wanted.published_by
+            versions[index] = replace(wanted, reported_at=published_at)
+            if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
+                logger.info(
+                    "publication time learnt from a peer",
+                    extra={
+                        "model": model,
+                        "version": version,
+                        "earlier": None if known is None else round(known - published_at, 3),
+                    },
+                )
+
+    def list_observed_versions(self, now: float) -> list[WantedVersion]:
+        """Return the versions whose recent publication this process has observed."""
+        observed = []
+        for versions in self.wanted_versions.values():
+            for wanted in versions:
+                if wanted.observed and now - wanted.learnt_at <= MAX_SHARED_AGE_SECONDS:
+                    observed.append(wanted)
+        return observed
+
     def list_items(self, table: Table, after: int) -> tuple[list[Item], list[str]]:
         """Return the items changed after a revision, and the keys of all items."""
         items = self._tables[table].items
@@ -287,7 +337,8 @@
         at_start = self._is_first_answer
         versions = self.wanted_versions.setdefault(model, [])
         since = self._started_at if at_start else now
-        versions.append(WantedVersion(model, version, since, at_start))
+        observed = not at_start and table_age <= MAX_OBSERVED_AGE_SECONDS
+        versions.append(WantedVersion(model, version, since, at_start, observed))
         del versions[:-MAX_VERSIONS_PER_MODEL]
         logger.info(
             "weights named",
@@ -295,6 +346,7 @@
                 "model": model,
                 "version": version,
                 "at_start": at_start,
+                "observed": observed,
                 "revision": item.revision,
                 "previous_age": round(table_age, 3) if isfinite(table_age) else None,
             },
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -10,6 +10,7 @@
     "ChunkDigests",
     "EngineNotice",
     "EntryRow",
+    "PublishedVersion",
     "TableChangesRequest",
     "TableItem",
     "TableRevision",
@@ -47,11 +48,23 @@
     age: float
 
 
+class PublishedVersion(msgspec.Struct, frozen=True, array_like=True):
+    """A version of a model that the sender saw being published `age` seconds ago."""
+
+    model: str
+    version: int
+    age: float
+
+
 class TableRevisions(Message, frozen=True, array_like=True, tag="g-state"):
-    """The sender's revisions of all tables; `sent_at` is its monotonic clock in seconds."""
+    """The sender's revisions of all tables; `sent_at` is its monotonic clock in seconds.
+
+    `published` lists the versions that were published recently.
+    """
 
     rows: list[TableRevision]
     sent_at: float
+    published: list[PublishedVersion] = []
 
 
 class TableChangesRequest(Message, frozen=True, array_like=True, tag="g-ask"):
