Keep the limit of a replaced version at entries that restart

Callers could be answered by an outdated version from an entry that restarted shortly after two publications. Reports about the one before were dropped as unknown, and since the newest one's own limit counts in place of contact_within after the start. Evidence: found in review; a restart 0.2 s after version 3, 5.2 s after version 2: requests are placed on version 1 until 12 s, while the limit of version 2 was 8 s. Change: a reported version that a newer one has replaced is added to the known ones.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -212,7 +212,7 @@
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
             published_at = now - published.age
-            self._tables.record_publication(published.model, published.version, published_at)
+            self._tables.record_publication(published.model, published.version, published_at, now)
 
     def _request_changes(self, stream: PeerStream, table: Table, revision: int) -> None:
         """Request the changes up to a revision that the peer has announced.
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from bisect import bisect
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf, isfinite
@@ -70,8 +71,9 @@
 class WantedVersion:
     """A published version of a model's weights, and when this process learnt of it.
 
-    `at_start` is set if the version was in the first answer that the process received; `learnt_at`
-    is the start time of the process in that case. `observed` is set if this process followed the
+    `at_start` is set if the version was in the first answer that the process received, in which
+    case `learnt_at` is the start time of the process, or if only another process has reported it.
+    `observed` is set if this process followed the
     store when the version was published, so that `learnt_at` is about the time of publication.
     `reported_at` is the earliest time of publication reported by other processes, infinite if none
     was. Times are in seconds of this process's clock.
@@ -240,12 +242,18 @@
         if revision == state.revision:
             state.confirmed_at = max(state.confirmed_at, confirmed_at)
 
-    def record_publication(self, model: str, version: int, published_at: float) -> None:
+    def record_publication(self, model: str, version: int, published_at: float, now: float) -> None:
         """Record when another process saw a version being published; the earliest time counts.
 
-        A version that is not in the cached table is ignored; it will be reported again.
+        A version that a newer one has replaced may be unknown here and is added, since its limit
+        still counts. One that is newer than the cached table is ignored; it is reported again.
         """
         versions = self.wanted_versions.get(model, [])
+        known_versions = [wanted.version for wanted in versions]
+        if versions and version < versions[-1].version and version not in known_versions:
+            replaced = WantedVersion(model, version, now, at_start=True)
+            versions.insert(bisect(known_versions, version), replaced)
+            del versions[:-MAX_VERSIONS_PER_MODEL]
         for index, wanted in enumerate(versions):
             if wanted.version != version or published_at >= wanted.reported_at:
                 continue
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -126,3 +126,31 @@
     for report in make_reports(published_for):
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("since_second", "since_third", "allowed"),
+    [(9.0, 4.0, False), (7.9, 1.0, False), (6.0, 1.0, True)],
+    ids=["second overdue", "second due within the margin", "second not yet due"],
+)
+def test_restarted_entry_keeps_the_limit_of_a_version_that_another_has_replaced(
+    since_second, since_third, allowed
+):
+    """A snapshot holds only the newest version, but the limit of the one before still counts."""
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (Item("version/m", 6, b"3"),), 6)
+    harness.clock.advance(3.5)
+    fleet = make_fleet(harness.clock, harness.tables)
+    observer_clock = Clock()
+    observer = TableCache(VersionDecoder())
+    apply(observer, observer_clock, (OTHER_ITEM,), 4)
+    apply(observer, observer_clock, (VERSION_ITEM,), 5)
+    observer_clock.advance(since_second - since_third)
+    observer.confirm(Table.OPERATOR, 5, observer_clock.seconds())
+    apply(observer, observer_clock, (Item("version/m", 6, b"3"),), 6)
+    observer_clock.advance(since_third)
+    stream = Stream()
+    make_fleet(observer_clock, observer).stream_opened(stream)
+    for report in stream.sent:
+        fleet.stream_received(Stream(), report)
+    assert serves_outdated(harness) is allowed
