Bound a version's limit where no entry saw it being published

Callers could be answered by an outdated version when all entries, or a single one, stood still while a version was published, or when a restarted entry took the time of an entry that had stood still for a moment. Cause: without a report the limit still counted from when the version was learnt; and a time was reported as observed if the table was at most 2 s old, which a stop of 1.9 s passes, twice the margin of 1 s. Evidence: found in review. All entries frozen from 0 to 6 s: in touch at 9 s, they would place on version 1 until 13 s, the limit being 11 s at the latest. Change: a gap between two ticks of over 0.5 s, half of the margin, counts as a stop. A version learnt after a stop and before the next answer of the store was published at an unknown time; its limit counts from the last confirmation without it, but not before contact_within after the stop, as after a start. Such times are not reported. A store that is away while the process runs changes nothing: nobody can publish then.

--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -266,6 +266,7 @@
 
     def _tick(self) -> None:
         now = self.reactor.seconds()
+        self._tables.record_running(now)
         self._dispatch(WeightsTick())
         self._choose_version()
         if now - self._reported_at >= REPORT_INTERVAL_SECONDS and not self._step_running:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -303,11 +303,16 @@
         """Return when requests may no longer start on an older version.
 
         It counts from the publication, whenever this process learnt of it. If nobody knows that
-        time, the version is due once this process is held to the limits after its start.
+        time, it counts from the last moment at which the version was known not to be published,
+        but not before this process is held to the limits after its start or stop.
         """
-        if wanted.published_by is None:
-            return wanted.learnt_at + self._bounds.contact_within
-        return wanted.published_by + self._bounds.version_within
+        bounds = self._bounds
+        if wanted.published_by is not None:
+            return wanted.published_by + bounds.version_within
+        return max(
+            wanted.unpublished_at + bounds.version_within,
+            wanted.learnt_at + bounds.contact_within,
+        )
 
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
@@ -406,6 +411,7 @@
     def _tick(self) -> None:
         now = self.reactor.seconds()
         self._record_tick(now)
+        self.tables.record_running(now)
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now)):
                 queued.item.refuse(refusal)
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -28,6 +28,7 @@
 LEASE_EXPIRY_GRACE_SECONDS = 2.0
 MAX_VERSIONS_PER_MODEL = 16  # the latest versions of a model; their deadlines may still be pending
 ENGINE_STATUS_TTL_SECONDS = 3.0  # the engine's 1.2 s heartbeat to the store plus the store's lag
+MAX_STOP_SECONDS = 0.5  # a shorter stop is within the margin that entries keep to a version's limit
 # A table that was confirmed within this time before a change has been followed without a break.
 MAX_OBSERVED_AGE_SECONDS = 2.0
 MAX_SHARED_AGE_SECONDS = 60.0  # versions published before are due at every process
@@ -73,8 +74,9 @@
 
     `at_start` is set if the version was in the first answer that the process received, in which
     case `learnt_at` is the start time of the process, or if only another process has reported it.
-    `observed` is set if this process followed the
-    store when the version was published, so that `learnt_at` is about the time of publication.
+    `followed` is set if this process ran without a break since the store last confirmed that the
+    version was not published, at `unpublished_at`; `learnt_at` then stands for the publication.
+    Otherwise `learnt_at` is when the process went on after the break.
     `reported_at` is the earliest time of publication reported by other processes, infinite if none
     was. Times are in seconds of this process's clock.
     """
@@ -83,21 +85,30 @@
     version: int
     learnt_at: float
     at_start: bool = False
-    observed: bool = False
+    followed: bool = True
+    unpublished_at: float = -inf
     reported_at: float = inf
 
     @property
     def published_by(self) -> float | None:
-        """The earliest time at which the version is known to be published, None if unknown.
+        """The time by which the version was published, None if only bounds of it are known.
 
         >>> WantedVersion("m", 2, learnt_at=6.0, reported_at=1.5).published_by
         1.5
         >>> WantedVersion("m", 2, learnt_at=6.0, at_start=True).published_by
+        >>> WantedVersion("m", 2, learnt_at=6.0, followed=False, unpublished_at=0.5).published_by
         """
-        if not self.at_start:
+        if self.followed and not self.at_start:
             return min(self.learnt_at, self.reported_at)
         return self.reported_at if isfinite(self.reported_at) else None
 
+    @property
+    def observed(self) -> bool:
+        """Whether `learnt_at` is close enough to the publication to be reported to others."""
+        if self.at_start or not self.followed:
+            return False
+        return self.learnt_at - self.unpublished_at <= MAX_OBSERVED_AGE_SECONDS
+
 
 @dataclass(frozen=True, slots=True)
 class EngineStatus:
@@ -170,6 +181,8 @@
         self._expiring: dict[InstanceId, float] = {}
         self._engine_statuses: dict[Address, EngineStatus] = {}
         self._is_first_answer = True
+        self._ran_at = started_at
+        self._resumed_at = float("-inf")
 
     def __repr__(self) -> str:
         version = self.catalogue.version if self.catalogue else None
@@ -194,6 +207,13 @@
         """Return the seconds since the store last confirmed a table; infinite if it never has."""
         return now - self._tables[table].confirmed_at
 
+    def record_running(self, now: float) -> None:
+        """Record that the process runs; called often, so that a gap shows that it stood still."""
+        stopped_for = now - self._ran_at
+        self._ran_at = now
+        if stopped_for > MAX_STOP_SECONDS:
+            self._resumed_at = now
+
     def apply(self, answer: TableAnswer, now: float) -> bool:
         """Apply an answer of the store; return whether any item has changed."""
         state = self._tables[answer.table]
@@ -208,7 +228,8 @@
             )
             return False
         first = state.revision == 0
-        age = now - state.confirmed_at
+        previously_confirmed_at = state.confirmed_at
+        self.record_running(now)
         if now - state.confirmed_at > MIN_OUTAGE_SECONDS + LEASE_EXPIRY_GRACE_SECONDS:
             state.reconnected_at = now
         state.revision = answer.revision
@@ -230,7 +251,7 @@
                 state.items.pop(item.key, None)
             else:
                 state.items[item.key] = item
-            self._apply_item(answer.table, item, now, age)
+            self._apply_item(answer.table, item, now, previously_confirmed_at)
         return changed
 
     def confirm(self, table: Table, revision: int, confirmed_at: float) -> None:
@@ -318,13 +339,15 @@
             logger.info("endpoint gone", extra={"endpoint": name, "cause": "lapsed"})
         return bool(expired)
 
-    def _apply_item(self, table: Table, item: Item, now: float, table_age: float) -> None:
+    def _apply_item(
+        self, table: Table, item: Item, now: float, previously_confirmed_at: float
+    ) -> None:
         if table is Table.ENDPOINTS:
             self._apply_endpoint_item(item, now)
         elif item.value is not None:
-            self._apply_operator_item(item, now, table_age)
+            self._apply_operator_item(item, now, previously_confirmed_at)
 
-    def _apply_operator_item(self, item: Item, now: float, table_age: float) -> None:
+    def _apply_operator_item(self, item: Item, now: float, previously_confirmed_at: float) -> None:
         catalogue = self._decoder.read_catalogue(item)
         if catalogue is not None:
             if self.catalogue is None or catalogue.version >= self.catalogue.version:
@@ -344,9 +367,19 @@
             return
         at_start = self._is_first_answer
         versions = self.wanted_versions.setdefault(model, [])
-        since = self._started_at if at_start else now
-        observed = not at_start and table_age <= MAX_OBSERVED_AGE_SECONDS
-        versions.append(WantedVersion(model, version, since, at_start, observed))
+        followed = self._resumed_at <= previously_confirmed_at
+        since = now if followed else self._resumed_at
+        if at_start:
+            since = self._started_at
+        wanted = WantedVersion(
+            model,
+            version,
+            since,
+            at_start,
+            followed=followed,
+            unpublished_at=previously_confirmed_at,
+        )
+        versions.append(wanted)
         del versions[:-MAX_VERSIONS_PER_MODEL]
         logger.info(
             "weights named",
@@ -354,9 +387,10 @@
                 "model": model,
                 "version": version,
                 "at_start": at_start,
-                "observed": observed,
+                "followed": wanted.followed,
+                "observed": wanted.observed,
                 "revision": item.revision,
-                "previous_age": round(table_age, 3) if isfinite(table_age) else None,
+                "previous_age": _round_age(now - previously_confirmed_at),
             },
         )
 
@@ -398,3 +432,7 @@
         if status.version and not status.loading:
             versions[status.model] = status.version
         return replace(record, versions=versions, loading=status.loading)
+
+
+def _round_age(age: float) -> float | None:
+    return round(age, 3) if isfinite(age) else None
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -154,3 +154,42 @@
     for report in stream.sent:
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("stood_still", "awake_for", "allowed"),
+    [(1.9, 4.0, True), (1.9, 6.5, False), (6.0, 3.5, False)],
+    ids=["not yet due", "overdue after a short stop", "overdue after a long stop"],
+)
+def test_entry_that_stood_still_alone_serves_no_outdated_version(stood_still, awake_for, allowed):
+    """Without a report of another entry, the limit counts from the last answer without the version.
+
+    The version was published just after that answer, when the entry had stopped; it woke after
+    `stood_still`, found the version and has run for `awake_for`.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    harness.clock.advance(stood_still)
+    apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
+    harness.clock.advance(awake_for)
+    assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize("delay", [0.0, 1.9])
+def test_restarted_entry_trusts_no_report_that_is_late_by_more_than_the_margin(delay):
+    """The only entry that saw the publication learnt of it late, as it stood still for a moment."""
+    observer_clock = Clock()
+    observer = TableCache(VersionDecoder())
+    apply(observer, observer_clock, (OTHER_ITEM,), 4)
+    observer_clock.advance(delay)
+    apply(observer, observer_clock, (VERSION_ITEM,), 5)
+    observer_clock.advance(8.1 - delay)
+    stream = Stream()
+    make_fleet(observer_clock, observer).stream_opened(stream)
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
+    harness.clock.advance(3.5)
+    fleet = make_fleet(harness.clock, harness.tables)
+    for report in stream.sent:
+        fleet.stream_received(Stream(), report)
+    assert not serves_outdated(harness)
