--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -10,7 +10,13 @@
 
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask
 from coltsfootshift.gateway.roster import Roster
-from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
+from coltsfootshift.gateway.table_cache import (
+    Item,
+    Table,
+    TableAnswer,
+    TableCache,
+    WantedVersion,
+)
 from coltsfootshift.ids import InstanceId, Role
 from coltsfootshift.messages import EntryRow
 from coltsfootshift.settings import Address
@@ -193,3 +199,16 @@
     for report in stream.sent:
         fleet.stream_received(Stream(), report)
     assert not serves_outdated(harness)
+
+
+@pytest.mark.parametrize("version", [2, 3])
+def test_expected_version_is_the_one_that_the_engine_serves(version):
+    """An engine answers 421 to every other expected version, also to an older one."""
+    harness = GatewayHarness(endpoints=0)
+    harness.add_endpoint("m-0", "llm", 180, {"m": version})
+    harness.tables.wanted_versions["m"] = [WantedVersion("m", 2, 0.0), WantedVersion("m", 3, 4.0)]
+    harness.gateway.refresh()
+    harness.clock.advance(7.1)
+    harness.confirm()
+    harness.send_request("model", headers=MODEL_HEADERS)
+    assert b"x-expect-version: %d\r\n" % version in harness.accept().value().lower()
