Note the end of an outage also when a peer confirms the table first

Callers got 503 for up to 2 s when live endpoints were dropped right after an outage of the store. Cause: a peer's confirmation renewed the age of the table without starting the grace period of lapsed leases, so that the deletions which the store reports next were taken at once. Change: one method renews the age and notes the end of an outage, for answers and for peers' confirmations.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -161,6 +161,12 @@
     reconnected_at: float = float("-inf")
     items: dict[str, Item] = field(default_factory=dict)
 
+    def renew(self, confirmed_at: float, now: float) -> None:
+        """Record a confirmation of the store, and whether it is the first after an outage."""
+        if now - self.confirmed_at > MIN_OUTAGE_SECONDS + LEASE_EXPIRY_GRACE_SECONDS:
+            self.reconnected_at = now
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
 
 class TableCache:
     """The latest known contents of the tables, and when the store confirmed them.
@@ -230,10 +236,8 @@
         first = state.revision == 0
         previously_confirmed_at = state.confirmed_at
         self.record_running(now)
-        if now - state.confirmed_at > MIN_OUTAGE_SECONDS + LEASE_EXPIRY_GRACE_SECONDS:
-            state.reconnected_at = now
         state.revision = answer.revision
-        state.confirmed_at = max(state.confirmed_at, answer.confirmed_at)
+        state.renew(answer.confirmed_at, now)
         items = list(answer.items)
         if answer.complete:
             received_keys = {item.key for item in items}
@@ -261,7 +265,7 @@
         """
         state = self._tables[table]
         if revision == state.revision:
-            state.confirmed_at = max(state.confirmed_at, confirmed_at)
+            state.renew(confirmed_at, confirmed_at)
 
     def record_publication(self, model: str, version: int, published_at: float, now: float) -> None:
         """Record when another process saw a version being published; the earliest time counts.
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -183,3 +183,12 @@
     tables = TableCache(PlainDecoder(), started_at=1.0)
     apply_answer(tables, Table.OPERATOR, [("version/m", 5, b"2")], 5, 9.0, complete=True)
     assert tables.wanted_versions["m"][0].learnt_at == 1.0
+
+
+@pytest.mark.parametrize("relayed", [False, True], ids=["store first", "peer first"])
+def test_endpoint_that_lapsed_is_held_also_after_a_peer_has_confirmed_the_table(tables, relayed):
+    """A peer that reads the store again first must not end the grace period of this process."""
+    if relayed:
+        tables.confirm(Table.ENDPOINTS, 3, 9.9)
+    apply_answer(tables, Table.ENDPOINTS, [("e-1", 6, None)], 6, 10.0)
+    assert "e-1" in tables.endpoints
