Do not count others as silent for time in which this entry stood still

An entry that woke after more than 2.5 s removed all others before it had read their rows. Until their streams were back it used the whole retry budget and all connections of an endpoint, and named itself alone in the directory. Cause: the silence of others was counted through its own stop. Evidence: found in review; the row failed before. Change: the lateness of the fleet's tick is added to the time that each entry has.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -86,12 +86,14 @@
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
         self._pending_requests: dict[tuple[InstanceId, Table], tuple[int, float]] = {}
+        self._ticked_at = context.reactor.seconds()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
     def start(self) -> None:
         """Dial the seeds and start the periodic task."""
         self._choose_peers()
+        self._ticked_at = self._context.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=True)
 
     def set_seeds(self, seeds: list[Address]) -> None:
@@ -163,6 +165,8 @@
 
     def _tick(self) -> None:
         now = self._context.reactor.seconds()
+        self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS))
+        self._ticked_at = now
         silent = self._roster.remove_silent(now)
         for name in silent:
             logger.info("entry silent", extra={"entry": name})
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -49,6 +49,11 @@
                 changed.append(row)
         return changed
 
+    def extend(self, seconds: float) -> None:
+        """Allow all entries so much more time, for which this process did not read their rows."""
+        for name in self._last_seen:
+            self._last_seen[name] += seconds
+
     def remove_silent(self, now: float) -> list[InstanceId]:
         """Remove the entries that have been silent for too long; return their names."""
         silent = [n for n, at in self._last_seen.items() if now - at > SILENCE_TIMEOUT_SECONDS]
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -227,3 +227,16 @@
     confirmed_at = clock.seconds() - age
     entry.tables.apply(TableAnswer(table, (), 7, True, confirmed_at), clock.seconds())
     assert entry.choose_start_revision(table) == (7 if asked else None)
+
+
+@pytest.mark.parametrize(
+    ("steps", "live"),
+    [([0.5] * 12, 1), ([6.0], 2)],
+    ids=["the other fell silent", "this entry stood still"],
+)
+def test_entry_that_stood_still_does_not_count_the_others_as_silent(fleet, clock, steps, live):
+    """It would take the whole retry budget, and name itself alone in the directory."""
+    fleet._roster.merge([make_row("other")], 0.0)
+    fleet.start()
+    clock.pump(steps)
+    assert fleet._roster.count_live() == live
