Load before the first limit that an engine misses

An engine two versions behind waited for its wave or the newest version's limit, although entries had stopped sending it requests since the limit of the version before: capacity was idle for seconds under load. Cause: the agent looked at the limit of the version that it loads only, and computed it in its own way. Change: the limit is computed by one method for entries and agents, and the agent takes the earliest of all versions newer than the one served. The decision is a function of its own now; its test could not run on the code before.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -372,6 +372,7 @@
         regions: dict[str, str],
         link_mbps: float,
         version_within: float,
+        contact_within: float,
     ) -> None:
         super().__init__(reactor, config, decoder, Roster(None), listens_for_entries=False)
         self._engine_address = engine_address
@@ -386,6 +387,7 @@
             regions,
             link_mbps,
             version_within,
+            contact_within,
             self.metrics,
             self.rng,
             self._report_engine_status,
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -42,7 +42,7 @@
 from coltsfootshift.gateway.model import EngineSpec
 from coltsfootshift.gateway.table_cache import TableCache
 from coltsfootshift.gateway.transfers import ChunkTransfers
-from coltsfootshift.gateway.versions import VersionSelector
+from coltsfootshift.gateway.versions import VersionSelector, find_first_limit
 from coltsfootshift.ids import Digest, InstanceId, Purpose, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
@@ -109,6 +109,7 @@
         regions: dict[str, str],
         link_mbps: float,
         version_within: float,
+        contact_within: float,
         metrics: Metrics,
         rng: Random,
         notify_entries: EngineStateCallback,
@@ -126,6 +127,7 @@
         rate = LINK_SHARE * link_mbps * BITS_PER_MEGABIT / BITS_PER_BYTE
         self._transfers = ChunkTransfers(self.reactor, rate, self._send, self._record_sent)
         self._version_within = version_within
+        self._contact_within = contact_within
         self._metrics = metrics
         self._notify_entries = notify_entries
         self._controller = WeightsController(
@@ -301,7 +303,7 @@
         if serving == version or report.busy or not self._all_staged:
             return
         now = self.reactor.seconds()
-        if now - self._ordered_at < ORDER_RETRY_SECONDS or not self._may_load(now):
+        if now - self._ordered_at < ORDER_RETRY_SECONDS or not self._may_load(serving or 0, now):
             return
         if not await self._verify_staged(model, version) or self._wanted != (model, version):
             return
@@ -323,23 +325,18 @@
             self._version_selector.record_order(version)
             self._announce(serving or 0, True, report.born)
 
-    def _may_load(self, now: float) -> bool:
-        """Return whether this engine may load now.
+    def _may_load(self, serving: int, now: float) -> bool:
+        """Return whether this engine, which serves the version `serving`, may load now.
 
-        It loads in its wave, or shortly before the version's time limit: after that limit entries
-        no longer send requests to an engine with an older version, so waiting has no benefit.
+        It loads in its wave, or shortly before entries no longer send requests to it, so that
+        waiting has no benefit. They stop at the earliest limit of all versions that are newer than
+        the one served, not only of the one that it loads.
         """
         if self._waves.may_load(now):
             return True
-        model, version = self._wanted
-        for published in self._tables.wanted_versions.get(model, []):
-            if published.version != version:
-                continue
-            since = published.published_by
-            if since is None:
-                since = published.learnt_at
-            return now >= since + self._version_within - LOAD_MARGIN_SECONDS
-        return False
+        published = self._tables.wanted_versions.get(self._wanted[0], [])
+        limit = find_first_limit(published, serving, self._version_within, self._contact_within)
+        return now >= limit - LOAD_MARGIN_SECONDS
 
     def _handle_report(self, report: EngineReport) -> None:
         if self._report is not None and report.born != self._report.born:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -24,7 +24,7 @@
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, compute_departure_interval
-from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache, WantedVersion
+from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
 from coltsfootshift.logs import get_logger
@@ -291,29 +291,16 @@
     ) -> int:
         """Return the oldest version that may serve a request `margin` seconds from now, 0 for any.
 
-        Each published version has its own deadline. Publishing another version while the previous
-        one is being loaded does not postpone the previous one's deadline.
+        Each published version has its own limit. Publishing another version while the previous one
+        is being loaded does not postpone the previous one's limit.
         """
+        bounds = self._bounds
         for wanted in reversed(self.tables.wanted_versions.get(exchange.admission.head.model, [])):
-            if now >= self._compute_version_deadline(wanted) - margin:
+            limit = wanted.compute_limit(bounds.version_within, bounds.contact_within)
+            if now >= limit - margin:
                 return wanted.version
         return 0
 
-    def _compute_version_deadline(self, wanted: WantedVersion) -> float:
-        """Return when requests may no longer start on an older version.
-
-        It counts from the publication, whenever this process learnt of it. If nobody knows that
-        time, it counts from the last moment at which the version was known not to be published,
-        but not before this process is held to the limits after its start or stop.
-        """
-        bounds = self._bounds
-        if wanted.published_by is not None:
-            return wanted.published_by + bounds.version_within
-        return max(
-            wanted.unpublished_at + bounds.version_within,
-            wanted.learnt_at + bounds.contact_within,
-        )
-
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
         tried = exchange.tried
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -102,6 +102,24 @@
             return min(self.learnt_at, self.reported_at)
         return self.reported_at if isfinite(self.reported_at) else None
 
+    def compute_limit(self, version_within: float, contact_within: float) -> float:
+        """Return when requests may no longer start on an older version.
+
+        It is `version_within` after the publication, whenever this process learnt of it. If nobody
+        knows that time, it counts from the last moment at which the version was known not to be
+        published, but not before `contact_within` after the start or stop of this process, from
+        which on it is held to the limits.
+
+        >>> WantedVersion("m", 2, learnt_at=6.0, reported_at=1.5).compute_limit(8.0, 3.0)
+        9.5
+        >>> stopped = WantedVersion("m", 2, learnt_at=6.0, followed=False, unpublished_at=0.5)
+        >>> stopped.compute_limit(8.0, 3.0)
+        9.0
+        """
+        if self.published_by is not None:
+            return self.published_by + version_within
+        return max(self.unpublished_at + version_within, self.learnt_at + contact_within)
+
     @property
     def observed(self) -> bool:
         """Whether `learnt_at` is close enough to the publication to be reported to others."""
--- a/src/coltsfootshift/gateway/versions.py
+++ b/src/coltsfootshift/gateway/versions.py
@@ -3,10 +3,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from math import inf
 
 from coltsfootshift.gateway.table_cache import WantedVersion
 
-__all__ = ["VersionSelector"]
+__all__ = ["VersionSelector", "find_first_limit"]
 
 MAX_SWITCH_AGE_SECONDS = 1.0  # a transfer older than this finishes before a new one would
 STUCK_TRANSFER_SECONDS = 8.0  # transfers take four to six seconds; a longer one is stuck
@@ -63,3 +64,21 @@
             return True
         elapsed = newest.learnt_at - self._started_at
         return elapsed < MAX_SWITCH_AGE_SECONDS or now - self._started_at > STUCK_TRANSFER_SECONDS
+
+
+def find_first_limit(
+    wanted: Sequence[WantedVersion], serving: int, version_within: float, contact_within: float
+) -> float:
+    """Return when entries stop sending requests to an engine that serves the version `serving`.
+
+    This is the earliest limit of all newer versions, infinite if there is none.
+
+    >>> two, three = WantedVersion("m", 2, 18.0), WantedVersion("m", 3, 21.0)
+    >>> find_first_limit([two, three], 1, 8.0, 3.0), find_first_limit([two, three], 2, 8.0, 3.0)
+    (26.0, 29.0)
+    """
+    first = inf
+    for published in wanted:
+        if published.version > serving:
+            first = min(first, published.compute_limit(version_within, contact_within))
+    return first
--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -8,7 +8,11 @@
 from coltsfootshift.controllers.chunks import Location
 from coltsfootshift.gateway.digests import DigestCache
 from coltsfootshift.gateway.table_cache import WantedVersion
-from coltsfootshift.gateway.versions import STUCK_TRANSFER_SECONDS, VersionSelector
+from coltsfootshift.gateway.versions import (
+    STUCK_TRANSFER_SECONDS,
+    VersionSelector,
+    find_first_limit,
+)
 from coltsfootshift.ids import Digest, InstanceId
 
 VERSION_2 = WantedVersion("m", 2, 18.0)
@@ -56,6 +60,17 @@
     assert max_pulls <= 1.5 * chunks / len(locations)
 
 
+@pytest.mark.parametrize(
+    ("serving", "reported_at", "expected"),
+    [(1, 18.0, 26.0), (1, 15.0, 23.0), (2, 18.0, 29.0), (3, 18.0, float("inf"))],
+    ids=["two behind", "published earlier than learnt", "one behind", "newest"],
+)
+def test_engine_loads_before_the_first_limit_that_it_misses(serving, reported_at, expected):
+    """An engine two versions behind would wait for the newest one's limit while it gets no work."""
+    wanted = [WantedVersion("m", 2, 18.0, reported_at=reported_at), WantedVersion("m", 3, 21.0)]
+    assert find_first_limit(wanted, serving, 8.0, 3.0) == expected
+
+
 LABEL = Digest("m@2")
 AGENTS = [f"agent-{number}" for number in range(40)]
 
