--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -4,6 +4,7 @@
 
 from random import Random
 
+import msgspec
 import pytest
 from gateway_harness import GatewayHarness, VersionDecoder
 from twisted.internet.task import Clock
@@ -18,7 +19,7 @@
     WantedVersion,
 )
 from coltsfootshift.ids import InstanceId, Role
-from coltsfootshift.messages import EntryRow
+from coltsfootshift.messages import EntryRow, PublishedVersion, TableRevision, TableRevisions
 from coltsfootshift.settings import Address
 
 VERSION_ITEM = Item("version/m", 5, b"2")
@@ -201,6 +202,74 @@
     assert not serves_outdated(harness)
 
 
+@pytest.mark.parametrize(
+    ("previous_at", "learnt_at", "reported"),
+    [(0.0, 1.5, [2]), (0.0, 2.5, []), (None, 0.0, [])],
+    ids=["followed the store", "not confirmed for long", "found at the start"],
+)
+def test_only_an_entry_that_followed_the_store_reports_a_publication(
+    previous_at, learnt_at, reported
+):
+    """A time learnt late would let others serve an outdated version."""
+    clock = Clock()
+    tables = TableCache(VersionDecoder())
+    if previous_at is not None:
+        apply(tables, clock, (OTHER_ITEM,), 4)
+    while clock.seconds() < learnt_at:
+        clock.advance(0.25)
+        tables.record_running(clock.seconds())
+    apply(tables, clock, (VERSION_ITEM,), 5)
+    assert [wanted.version for wanted in tables.list_observed_versions(clock.seconds())] == reported
+
+
+@pytest.mark.parametrize("ages", [(7.5, 5.0), (5.0, 7.5)], ids=["earliest first", "latest first"])
+@pytest.mark.parametrize("transit_delay", [0.0, 3.0])
+def test_earliest_report_counts_without_its_delay(ages, transit_delay):
+    """A late report must not postpone a limit, nor may a slow stream bring it forward."""
+    clock = Clock()
+    clock.advance(20.0)
+    tables = TableCache(VersionDecoder(), clock.seconds())
+    apply(tables, clock, (VERSION_ITEM, OTHER_ITEM), 5)
+    fleet = make_fleet(clock, tables)
+    stream = Stream()
+    stream.transit_delay = transit_delay
+    for age in ages:
+        for report in make_reports(age):
+            fleet.stream_received(stream, report)
+    times = {name: rows[-1].published_by for name, rows in tables.wanted_versions.items()}
+    assert times == {"m": pytest.approx(12.5), "other": None}
+
+
+def test_reports_of_versions_do_not_mix():
+    tables = TableCache(VersionDecoder())
+    apply(tables, Clock(), (VERSION_ITEM,), 5)
+    apply(tables, Clock(), (Item("version/m", 6, b"3"),), 6)
+    tables.record_publication("m", 3, -1.0, 0.0)
+    tables.record_publication("m", 2, -4.0, 0.0)
+    rows = [(wanted.version, wanted.published_by) for wanted in tables.wanted_versions["m"]]
+    assert rows == [(2, -4.0), (3, -1.0)]
+
+
+class FormerRevisions(msgspec.Struct, frozen=True, array_like=True, tag="g-state"):
+    """The message of entries that report no publications."""
+
+    rows: list[TableRevision]
+    sent_at: float
+
+
+@pytest.mark.parametrize(
+    ("sent", "expected"),
+    [
+        (TableRevisions([], 1.0, [PublishedVersion("m", 2, 0.5)]), FormerRevisions([], 1.0)),
+        (FormerRevisions([], 1.0), TableRevisions([], 1.0)),
+    ],
+    ids=["to an entry of an earlier build", "from one"],
+)
+def test_entries_of_two_builds_understand_each_other(sent, expected):
+    data = msgspec.msgpack.encode(sent)
+    assert msgspec.msgpack.decode(data, type=type(expected)) == expected
+
+
 @pytest.mark.parametrize("version", [2, 3])
 def test_expected_version_is_the_one_that_the_engine_serves(version):
     """An engine answers 421 to every other expected version, also to an older one."""
