Show that the transit delay of a stream opened on a slow link is underestimated

Lowering the smallest offset by the handshake's round trip would make a stream whose handshake was slow look delayed for its whole life, and agents refuse requests that come on a delayed stream.

--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -440,3 +440,26 @@
     assert time.process_time() - started < 0.5
     with pytest.raises(FrameTooLargeError):
         list(reader.feed((size + 1).to_bytes(4, "big")))
+
+
+@pytest.mark.parametrize(("delay", "most"), [(0.0, 0.1), (1.0, 2.0)])
+def test_transit_delay_of_a_stream_opened_on_a_slow_link_is_not_underestimated(delay, most):
+    """Table confirmations would look younger, so a revoked key would be accepted for longer."""
+    first, second = make_pair()
+    dialled, accepted = first.dial(second.name), second.accept()
+
+    def deliver(source: PeerStream, target: PeerStream) -> None:
+        data = source.transport.value()
+        source.transport.clear()
+        target.dataReceived(data)
+
+    for _ in range(2):
+        deliver(dialled, accepted)
+        first.clock.advance(delay)
+        deliver(accepted, dialled)
+    sent_at = first.clock.seconds()
+    accepted.send(Heartbeat(sent_at=sent_at))
+    first.clock.advance(delay)
+    deliver(accepted, dialled)
+    assert first.owner.opened and not is_aborted(dialled)
+    assert delay <= dialled.transit_delay <= most
