Report the version before a recent one, however old

An entry that restarts long after a publication and right after the next one does not know the limit of the version between, since reports ended after 60 s, and would serve one that has been outdated for long. Evidence: the new row failed before. Change: entries report the versions of the last 60 s and the one before them.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -31,7 +31,7 @@
 MAX_STOP_SECONDS = 0.5  # a shorter stop is within the margin that entries keep to a version's limit
 # A table that was confirmed within this time before a change has been followed without a break.
 MAX_OBSERVED_AGE_SECONDS = 2.0
-MAX_SHARED_AGE_SECONDS = 60.0  # versions published before are due at every process
+MAX_SHARED_AGE_SECONDS = 60.0  # the limit of a version published before has passed
 MIN_OUTAGE_SECONDS = 1.0  # leases do not expire in a shorter outage of the store
 
 logger = get_logger("gateway.knowledge")
@@ -313,12 +313,18 @@
                 )
 
     def list_observed_versions(self, now: float) -> list[WantedVersion]:
-        """Return the versions whose recent publication this process has observed."""
+        """Return the versions whose publication this process has observed and others may need.
+
+        These are the recent ones and the one before them, whose limit an entry that restarts
+        would otherwise not know.
+        """
         observed = []
         for versions in self.wanted_versions.values():
-            for wanted in versions:
-                if wanted.observed and now - wanted.learnt_at <= MAX_SHARED_AGE_SECONDS:
+            for wanted in reversed(versions):
+                if wanted.observed:
                     observed.append(wanted)
+                if now - wanted.learnt_at > MAX_SHARED_AGE_SECONDS:
+                    break
         return observed
 
     def list_items(self, table: Table, after: int) -> tuple[list[Item], list[str]]:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -137,8 +137,8 @@
 
 @pytest.mark.parametrize(
     ("since_second", "since_third", "allowed"),
-    [(9.0, 4.0, False), (7.9, 1.0, False), (6.0, 1.0, True)],
-    ids=["second overdue", "second due within the margin", "second not yet due"],
+    [(9.0, 4.0, False), (7.9, 1.0, False), (6.0, 1.0, True), (3600.0, 4.0, False)],
+    ids=["second overdue", "second due within the margin", "second not yet due", "long ago"],
 )
 def test_restarted_entry_keeps_the_limit_of_a_version_that_another_has_replaced(
     since_second, since_third, allowed
