Keep the limit of a version that the next one replaced before an entry read it

Cause: the store holds only the newest version of a model, so such an entry never learns of the first one, and record_publication ignored a peer's report of a version that is not in the list. Only the limit of the second version held it back. Since this also concerns entries that restarted: before, they counted contact_within from their start, now the reported time of the second version, which is later. Change: a reported version older than the newest in the table is added to the list with its reported time. One that is newer than the table is still ignored, since the table brings it.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from bisect import bisect_left
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf, isfinite
@@ -243,23 +244,34 @@
     def record_publication(self, model: str, version: int, published_at: float) -> None:
         """Record when another process saw a version being published; the earliest time counts.
 
-        A version that is not in the cached table is ignored; it will be reported again.
+        A version that this process has missed, because the next one replaced it in the store, is
+        added: its deadline precedes that of the next. A version newer than the cached table is
+        ignored; it will be reported again.
         """
         versions = self.wanted_versions.get(model, [])
-        for index, wanted in enumerate(versions):
-            if wanted.version != version or published_at >= wanted.reported_at:
-                continue
-            known = wanted.published_by
+        if not versions or version > versions[-1].version:
+            return
+        index = bisect_left(versions, version, key=lambda wanted: wanted.version)
+        wanted = versions[index]
+        known = wanted.published_by
+        if wanted.version != version:
+            if len(versions) >= MAX_VERSIONS_PER_MODEL:
+                return
+            versions.insert(index, WantedVersion(model, version, published_at))
+            known = None
+        elif published_at < wanted.reported_at:
             versions[index] = replace(wanted, reported_at=published_at)
-            if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
-                logger.info(
-                    "publication time learnt from a peer",
-                    extra={
-                        "model": model,
-                        "version": version,
-                        "earlier": None if known is None else round(known - published_at, 3),
-                    },
-                )
+        else:
+            return
+        if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
+            logger.info(
+                "publication time learnt from a peer",
+                extra={
+                    "model": model,
+                    "version": version,
+                    "earlier": None if known is None else round(known - published_at, 3),
+                },
+            )
 
     def list_observed_versions(self, now: float) -> list[WantedVersion]:
         """Return the versions whose recent publication this process has observed."""
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -65,14 +65,19 @@
     tables.apply(TableAnswer(Table.OPERATOR, items, revision, False, now), now)
 
 
-def make_reports(age):
-    """Return what an entry reports that followed the store and learnt of version 2 `age` ago."""
+def make_reports(*ages):
+    """Return what an entry reports that followed the store.
+
+    It learnt of version 2 the first of `ages` ago, of version 3 the second, and so on.
+    """
     clock = Clock()
     clock.advance(500.0)  # clocks of different instances share no origin
     tables = TableCache(VersionDecoder())
     apply(tables, clock, (OTHER_ITEM,), 4)
-    apply(tables, clock, (VERSION_ITEM,), 5)
-    clock.advance(age)
+    for index, (age, next_age) in enumerate(zip(ages, (*ages[1:], 0.0), strict=True)):
+        item = Item(VERSION_ITEM.key, VERSION_ITEM.revision + index, str(2 + index).encode())
+        apply(tables, clock, (item,), item.revision)
+        clock.advance(age - next_age)
     stream = Stream()
     fleet = make_fleet(clock, tables)
     fleet.stream_opened(stream)
@@ -126,3 +131,39 @@
     for report in make_reports(published_for):
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("restarted", "published_for", "allowed"),
+    [
+        (False, (7.5, 5.5), False),
+        (False, (6.5, 4.5), True),
+        (True, (7.5, 5.5), False),
+        (True, (6.5, 4.5), True),
+        (True, (9.5, 7.5), False),
+    ],
+    ids=[
+        "stood still",
+        "stood still, not yet due",
+        "restarted",
+        "restarted, not yet due",
+        "restarted, both due",
+    ],
+)
+def test_entry_that_missed_a_version_keeps_its_limit(restarted, published_for, allowed):
+    """A version that was replaced before an entry read it forbids older ones at its own limit.
+
+    The entry learnt only of version 3, 1 s ago; versions 2 and 3 were published `published_for`
+    ago. Its engine has version 1.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    clock = harness.clock
+    if not restarted:
+        apply(harness.tables, clock, (OTHER_ITEM,), 4)
+        clock.advance(8.0)
+    apply(harness.tables, clock, (Item("version/m", 6, b"3"),), 6)
+    clock.advance(1.0)
+    fleet = make_fleet(clock, harness.tables)
+    for report in make_reports(*published_for):
+        fleet.stream_received(Stream(), report)
+    assert serves_outdated(harness) is allowed
