Forget the connection of an attempt that has ended

Cause: an exchange kept the handle of an attempt that had failed, until the next attempt replaced it. If the request was queued meanwhile, the end of its caller or its deadline cancelled that old handle: - after a failed dial, the connector raises NotConnectingError; the exception left the exchange in the queue and among the unfinished ones; - after a complete response with a status of 500 or more, the connection is back in the pool; cancelling aborts it and drops its receiver, also when another request has been sent on it.

Change: _retry clears the handle together with the attempt. Every way there has already cancelled the attempt, or its response or connection has ended.

Both tests failed before. The harness lets a failed connector refuse stopConnecting, as Twisted's does.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -292,6 +292,7 @@
         """
         attempt.active = False
         self._attempt = None
+        self._outbound = None
         buffered, self._buffered, self._buffered_bytes = self._buffered, [], 0
         self._event_buffer.discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -5,7 +5,7 @@
 from random import Random
 
 from coltsfootshift_platform.dialect import PlatformDialect
-from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost, NotConnectingError
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.python.failure import Failure
 
@@ -243,8 +243,15 @@
     def refuse_connection(self):
         """Fail the next connection that the gateway has dialled."""
         factory = self.clock.tcpClients[self._dial_count][2]
+        connector = self.clock.connectors[self._dial_count]
+        connector.stopConnecting = _raise_not_connecting
         self._dial_count += 1
-        factory.clientConnectionFailed(None, Failure(ConnectionLost()))
+        factory.clientConnectionFailed(connector, Failure(ConnectionLost()))
+
+
+def _raise_not_connecting():
+    """Do as a connector of Twisted does that is not connecting any more."""
+    raise NotConnectingError
 
 
 def make_response(
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -20,6 +20,7 @@
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from coltsfootshift.gateway.model import CallerLimits
+from coltsfootshift.gateway.placement import INITIAL_BACKOFF_SECONDS
 from coltsfootshift.gateway.table_cache import EngineStatus, WantedVersion
 from coltsfootshift.gateway.waiting import MIN_RETRY_AFTER_SECONDS
 
@@ -413,6 +414,34 @@
     assert harness.accept() is None and caller.aborted
 
 
+def test_request_that_waits_after_a_failed_connection_ends_with_its_caller():
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.send_request()
+    harness.refuse_connection()
+    assert harness.gateway.unfinished == 1
+    caller.disconnect(ConnectionDone())
+    assert harness.gateway.unfinished == 0
+    harness.clock.advance(INITIAL_BACKOFF_SECONDS)
+    assert harness.accept() is None
+
+
+def test_caller_that_leaves_does_not_end_the_next_request_on_an_earlier_connection():
+    """A request that failed and waits for a retry no longer owns the connection it was sent on."""
+    harness = GatewayHarness()
+    harness.send_request(request="r-0")
+    harness.refuse_connection()
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(make_response(b"ok", request="r-0"))
+    first = harness.send_request(request="r-1")
+    endpoint.protocol.dataReceived(make_response(status=500))
+    second = harness.send_request(request="r-2")
+    assert harness.accept() is None and harness.gateway.unfinished == 2
+    first.disconnect(ConnectionDone())
+    assert harness.gateway.unfinished == 1 and not endpoint.aborted
+    endpoint.protocol.dataReceived(make_response(b"two", request="r-2"))
+    assert read_body(second) == b"two"
+
+
 def test_misdirected_orders_come_ever_less_until_the_record_changes():
     """An endpoint that rejects requests as misdirected gets fewer and fewer of them.
 
