Request a table change once, and not while the store sends it

Cause: the 14 Mbit/s between regions were full of copies of the catalogue (49 kB here). When an operator changes it, every entry receives it from the store, and all entries announce the new revision to all others. An entry that had not received the store's answer requested the change from each of the twelve peers that announced it, and again for each further revision. The busier the link, the more announcements came before the first answer, and the more copies were sent.

Change: one request per table is pending at a time, whoever announces what; another peer is asked after the timeout or if the stream is lost. A process that reads the table from the store itself asks a peer only if it has been behind for 0.4 s without progress. An entry that the store does not answer thus learns of a change up to 0.4 s later than before.

All rows of test_change_that_all_peers_announce_is_requested_once and test_change_that_the_store_sends_is_not_requested_as_well failed before. test_change_is_requested_from_another_peer_when_the_first_is_lost passed before: it keeps the new limit from delaying a request.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -33,6 +33,8 @@
 
 TICK_SECONDS = 0.5
 REQUEST_TIMEOUT_SECONDS = 1.0  # a peer normally answers within a few round trips of milliseconds
+# An answer of the store normally arrives within this time after the first announcement of a change.
+STORE_ANSWER_SECONDS = 0.4
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
 FALLBACK_ENTRIES = 4  # further entries sent to an agent, in case all that it is connected to fail
@@ -55,6 +57,10 @@
     def engine_status_received(self, notice: EngineNotice) -> None:
         """Handle an agent's report of what its engine serves."""
 
+    def reads_store(self, table: Table) -> bool:
+        """Return whether this process itself reads a table from the store."""
+        return False
+
 
 class FleetTask(StreamOwner):
     """Owns the streams to entries and exchanges gossip on them.
@@ -85,7 +91,8 @@
         self._rng = rng
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
-        self._pending_requests: dict[tuple[InstanceId, Table], tuple[int, float]] = {}
+        self._pending_requests: dict[Table, tuple[InstanceId, float]] = {}
+        self._behind_since: dict[Table, tuple[int, float]] = {}
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
@@ -138,7 +145,7 @@
         """Remove the stream and its pending requests."""
         peer = stream.peer_id
         for table in Table:
-            self._pending_requests.pop((peer, table), None)
+            self._remove_request(table, peer)
         streams = self._streams.get(peer, [])
         if stream in streams:
             streams.remove(stream)
@@ -208,25 +215,50 @@
             if row.revision == cached:
                 self._tables.confirm(table, cached, now - row.age - stream.transit_delay)
             elif row.revision > cached:
-                self._request_changes(stream, table, row.revision)
+                self._request_changes(stream, table)
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
             published_at = now - published.age
             self._tables.record_publication(published.model, published.version, published_at)
 
-    def _request_changes(self, stream: PeerStream, table: Table, revision: int) -> None:
-        """Request the changes up to a revision that the peer has announced.
+    def _request_changes(self, stream: PeerStream, table: Table) -> None:
+        """Request the changes of a table from a peer that has announced a newer revision.
 
-        A request for the same revision is repeated only if it was not answered within
-        `REQUEST_TIMEOUT_SECONDS`.
+        One request per table is pending at a time, since all peers announce a change at once and
+        each would send a copy of it. Another peer is asked if the stream is lost, or if there is no
+        answer within `REQUEST_TIMEOUT_SECONDS`.
         """
+        if self._expects_answer_of_store(table):
+            return
         now = self._context.reactor.seconds()
-        requested, requested_at = self._pending_requests.get((stream.peer_id, table), (0, 0.0))
-        if requested == revision and now - requested_at < REQUEST_TIMEOUT_SECONDS:
+        pending = self._pending_requests.get(table)
+        if pending is not None and now - pending[1] < REQUEST_TIMEOUT_SECONDS:
             return
-        self._pending_requests[stream.peer_id, table] = (revision, now)
+        self._pending_requests[table] = (stream.peer_id, now)
         stream.send(TableChangesRequest(table.value, self._tables.get_revision(table)))
 
+    def _expects_answer_of_store(self, table: Table) -> bool:
+        """Return whether the store will probably send an announced change sooner than a peer would.
+
+        That is so while this process reads the table itself, until it has been behind the peers for
+        `STORE_ANSWER_SECONDS` without any progress.
+        """
+        if not self._observer.reads_store(table):
+            return False
+        now = self._context.reactor.seconds()
+        cached = self._tables.get_revision(table)
+        revision, since = self._behind_since.get(table, (-1, now))
+        if revision != cached:
+            since = now
+        self._behind_since[table] = (cached, since)
+        return now - since < STORE_ANSWER_SECONDS
+
+    def _remove_request(self, table: Table, peer: InstanceId) -> None:
+        """Remove the pending request of a table if it was sent to this peer."""
+        pending = self._pending_requests.get(table)
+        if pending is not None and pending[0] == peer:
+            del self._pending_requests[table]
+
     def _send_changes(self, stream: PeerStream, message: TableChangesRequest) -> None:
         table = Table(message.table)
         now = self._context.reactor.seconds()
@@ -238,7 +270,7 @@
 
     def _apply_changes(self, stream: PeerStream, message: TableChanges) -> None:
         table = Table(message.table)
-        self._pending_requests.pop((stream.peer_id, table), None)
+        self._remove_request(table, stream.peer_id)
         now = self._context.reactor.seconds()
         received = [Item(row.key, row.revision, row.value) for row in message.items]
         items = self._tables.merge_items(table, received, message.keys)
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -13,6 +13,7 @@
 from coltsfootshift.gateway.fleet import (
     FALLBACK_ENTRIES,
     REQUEST_TIMEOUT_SECONDS,
+    STORE_ANSWER_SECONDS,
     FleetObserver,
     FleetTask,
 )
@@ -33,6 +34,12 @@
 
 
 class Observer(FleetObserver):
+    def __init__(self, reads=False):
+        self._reads = reads
+
+    def reads_store(self, table):
+        return self._reads
+
     def tables_changed(self):
         pass
 
@@ -112,6 +119,64 @@
     assert second.count_requests() == (1 if lost == "stream" else 2)
 
 
+@pytest.mark.parametrize(
+    "revisions", [(5, 5, 5, 5), (5, 6, 7, 8)], ids=["one", "one after another"]
+)
+def test_change_that_all_peers_announce_is_requested_once(fleet, clock, revisions):
+    """A table that all peers announce at once does not cross the network once for each of them."""
+    streams = [Stream(peer_id=f"entry-{number}") for number in range(2, 2 + len(revisions))]
+    for stream in streams:
+        fleet.stream_opened(stream)
+    for stream, revision in zip(streams, revisions, strict=True):
+        rows = [TableRevision("operator", revision, 0.1), TableRevision("endpoints", 9, 0.1)]
+        fleet.stream_received(stream, TableRevisions(rows, 0.0))
+    assert [stream.count_requests() for stream in streams] == [2, 0, 0, 0]
+    latest = max(revisions)
+    item = TableItem("k", latest, b"{}")
+    fleet.stream_received(streams[0], TableChanges("operator", latest, 0.0, [item], ["k"], 0.0))
+    rows = [TableRevision("operator", latest + 1, 0.0)]
+    fleet.stream_received(streams[1], TableRevisions(rows, 0.0))
+    assert streams[1].count_requests() == 1
+
+
+@pytest.mark.parametrize("lost", ["stream", "answer"])
+def test_change_is_requested_from_another_peer_when_the_first_is_lost(fleet, clock, lost):
+    first, second = Stream(), Stream(peer_id="entry-3")
+    fleet.stream_opened(first)
+    fleet.stream_opened(second)
+    fleet.stream_received(first, TABLE_REVISIONS)
+    if lost == "stream":
+        fleet.stream_closed(first, "lost")
+    else:
+        clock.advance(REQUEST_TIMEOUT_SECONDS)
+    fleet.stream_received(second, TABLE_REVISIONS)
+    assert (first.count_requests(), second.count_requests()) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("reads", "answered", "requests"),
+    [(False, False, [1, 1]), (True, False, [0, 1]), (True, True, [0, 0])],
+    ids=["reads nothing", "store does not answer", "store answers"],
+)
+def test_change_that_the_store_sends_is_not_requested_as_well(
+    fleet, clock, reads, answered, requests
+):
+    """An entry that reads a table asks its peers only if the store's answer does not come."""
+    fleet._observer = Observer(reads)
+    stream = Stream()
+    fleet.stream_opened(stream)
+    seen = []
+    for revision in (5, 6):
+        rows = [TableRevision("operator", revision, 0.1)]
+        fleet.stream_received(stream, TableRevisions(rows, 0.0))
+        seen.append(stream.count_requests())
+        if answered:
+            answer = TableAnswer(Table.OPERATOR, (), revision, False, clock.seconds())
+            fleet._tables.apply(answer, clock.seconds())
+        clock.advance(STORE_ANSWER_SECONDS)
+    assert seen == requests
+
+
 @pytest.mark.parametrize(("incarnation", "aborted"), [("1", False), ("2", True)])
 def test_second_stream_of_a_peer_replaces_only_an_older_start(fleet, incarnation, aborted):
     """A stream of another incarnation aborts the earlier one.
