Let agents connect to the entries of their region

Cause: an agent kept streams to two entries chosen by hash among all, so that about two thirds of the copies for agents crossed the links between regions, one copy for each agent and change.

Change: an agent connects to entries of its region while it knows at least two that live there, and to any otherwise, as before its first list of them. It loses both of its entries at once as rarely as before, except in a fault of the whole region; then their rows expire and it uses the others.

The row "enough" of the new test failed before.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -179,9 +179,7 @@
         self.announce()
 
     def _choose_peers(self) -> None:
-        addresses = list(self._seeds)
-        for row in self._roster.list_rows():
-            addresses.append(Address(row.host, row.peer_port))
+        addresses = self._list_addresses()
         targets = {}
         for address in addresses:
             if address != self._own_address:
@@ -193,6 +191,20 @@
             targets = {InstanceId(name): targets[InstanceId(name)] for name in chosen}
         self._dialer.set_targets(targets)
 
+    def _list_addresses(self) -> list[Address]:
+        """Return the addresses of the entries that this process may connect to.
+
+        An agent uses the entries of its region if enough of them live, since a copy of each table
+        change goes to every agent, and links between regions are narrow.
+        """
+        rows = self._roster.list_rows()
+        if self._own_address is None:
+            region = self._context.make_hello(Purpose.ENTRIES).region
+            near = [Address(row.host, row.peer_port) for row in rows if row.region == region]
+            if len(near) >= ENTRIES_PER_AGENT:
+                return near
+        return self._seeds + [Address(row.host, row.peer_port) for row in rows]
+
     def _merge_roster(self, message: EntryList) -> None:
         changed = self._roster.merge(message.rows, self._context.reactor.seconds())
         if not changed:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,26 +11,36 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.gateway.fleet import (
+    ENTRIES_PER_AGENT,
     FALLBACK_ENTRIES,
     REQUEST_TIMEOUT_SECONDS,
     STORE_ANSWER_SECONDS,
     FleetObserver,
     FleetTask,
 )
-from coltsfootshift.gateway.nodes import MAX_RELAYED_AGE_SECONDS, GatewayEntry, NodeConfig
+from coltsfootshift.gateway.nodes import (
+    MAX_RELAYED_AGE_SECONDS,
+    PEER_TIMING,
+    GatewayEntry,
+    NodeConfig,
+)
 from coltsfootshift.gateway.roster import READER_COUNT, SILENCE_TIMEOUT_SECONDS, Roster
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
 from coltsfootshift.ids import FailureDomain, InstanceId, Role
+from coltsfootshift.keys import KeyRing
 from coltsfootshift.messages import (
     EntryList,
     EntryRow,
+    Hello,
     TableChanges,
     TableChangesRequest,
     TableItem,
     TableRevision,
     TableRevisions,
 )
+from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
+from coltsfootshift.streams import StreamContext
 
 
 class Observer(FleetObserver):
@@ -250,6 +260,31 @@
     assert len(lists[-1].rows) == 1 + others
 
 
+@pytest.mark.parametrize(("near", "only_near"), [(3, True), (1, False)], ids=["enough", "too few"])
+def test_agent_connects_to_entries_of_its_region(near, only_near):
+    """Copies of table changes for agents do not cross the links between regions."""
+    hello = Hello("agent-1", "1", "agent", "entries", "", "north", "a", 0.0)
+    reactor = MemoryReactorClock()
+    keys = KeyRing.make("secret")
+    context = StreamContext(reactor, PEER_TIMING, Metrics(), lambda purpose: hello, keys)
+    tables = TableCache(NullDecoder())
+    seeds = [Address("10.2.0.1", 1), Address("10.2.0.2", 1)]
+    fleet = FleetTask(context, tables, Roster(None), seeds, None, Observer(), Random(1))
+    fleet.start()
+    assert len(reactor.tcpClients) == len(seeds)
+    rows = [make_region_row("south", number) for number in range(1, 9)]
+    rows += [make_region_row("north", number) for number in range(1, 1 + near)]
+    fleet.stream_received(Stream(), EntryList(rows))
+    assert len(fleet._dialer.targets) == ENTRIES_PER_AGENT
+    if only_near:
+        assert all(target.startswith("10.1.") for target in fleet._dialer.targets)
+
+
+def make_region_row(region, number):
+    host = f"10.{1 if region == 'north' else 2}.0.{number}"
+    return EntryRow(f"{region}-{number}", 1, host, 1, 2, region, region, True, False)
+
+
 NAMES = [f"entry-{number}" for number in range(16)]
 
 
