--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,28 +11,45 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.gateway.fleet import (
+    ENTRIES_PER_AGENT,
     FALLBACK_ENTRIES,
     REQUEST_TIMEOUT_SECONDS,
+    STORE_ANSWER_SECONDS,
     FleetObserver,
     FleetTask,
 )
-from coltsfootshift.gateway.nodes import MAX_RELAYED_AGE_SECONDS, GatewayEntry, NodeConfig
+from coltsfootshift.gateway.nodes import (
+    MAX_RELAYED_AGE_SECONDS,
+    PEER_TIMING,
+    GatewayEntry,
+    NodeConfig,
+)
 from coltsfootshift.gateway.roster import READER_COUNT, SILENCE_TIMEOUT_SECONDS, Roster
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
 from coltsfootshift.ids import FailureDomain, InstanceId, Role
+from coltsfootshift.keys import KeyRing
 from coltsfootshift.messages import (
     EntryList,
     EntryRow,
+    Hello,
     TableChanges,
     TableChangesRequest,
     TableItem,
     TableRevision,
     TableRevisions,
 )
+from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
+from coltsfootshift.streams import StreamContext
 
 
 class Observer(FleetObserver):
+    def __init__(self, reads=False):
+        self._reads = reads
+
+    def reads_store(self, table):
+        return self._reads
+
     def tables_changed(self):
         pass
 
@@ -112,6 +129,64 @@
     assert second.count_requests() == (1 if lost == "stream" else 2)
 
 
+@pytest.mark.parametrize(
+    "revisions", [(5, 5, 5, 5), (5, 6, 7, 8)], ids=["one", "one after another"]
+)
+def test_change_that_all_peers_announce_is_requested_once(fleet, clock, revisions):
+    """A table that all peers announce at once does not cross the network once for each of them."""
+    streams = [Stream(peer_id=f"entry-{number}") for number in range(2, 2 + len(revisions))]
+    for stream in streams:
+        fleet.stream_opened(stream)
+    for stream, revision in zip(streams, revisions, strict=True):
+        rows = [TableRevision("operator", revision, 0.1), TableRevision("endpoints", 9, 0.1)]
+        fleet.stream_received(stream, TableRevisions(rows, 0.0))
+    assert [stream.count_requests() for stream in streams] == [2, 0, 0, 0]
+    latest = max(revisions)
+    item = TableItem("k", latest, b"{}")
+    fleet.stream_received(streams[0], TableChanges("operator", latest, 0.0, [item], ["k"], 0.0))
+    rows = [TableRevision("operator", latest + 1, 0.0)]
+    fleet.stream_received(streams[1], TableRevisions(rows, 0.0))
+    assert streams[1].count_requests() == 1
+
+
+@pytest.mark.parametrize("lost", ["stream", "answer"])
+def test_change_is_requested_from_another_peer_when_the_first_is_lost(fleet, clock, lost):
+    first, second = Stream(), Stream(peer_id="entry-3")
+    fleet.stream_opened(first)
+    fleet.stream_opened(second)
+    fleet.stream_received(first, TABLE_REVISIONS)
+    if lost == "stream":
+        fleet.stream_closed(first, "lost")
+    else:
+        clock.advance(REQUEST_TIMEOUT_SECONDS)
+    fleet.stream_received(second, TABLE_REVISIONS)
+    assert (first.count_requests(), second.count_requests()) == (1, 1)
+
+
+@pytest.mark.parametrize(
+    ("reads", "answered", "requests"),
+    [(False, False, [1, 1]), (True, False, [0, 1]), (True, True, [0, 0])],
+    ids=["reads nothing", "store does not answer", "store answers"],
+)
+def test_change_that_the_store_sends_is_not_requested_as_well(
+    fleet, clock, reads, answered, requests
+):
+    """An entry that reads a table asks its peers only if the store's answer does not come."""
+    fleet._observer = Observer(reads)
+    stream = Stream()
+    fleet.stream_opened(stream)
+    seen = []
+    for revision in (5, 6):
+        rows = [TableRevision("operator", revision, 0.1)]
+        fleet.stream_received(stream, TableRevisions(rows, 0.0))
+        seen.append(stream.count_requests())
+        if answered:
+            answer = TableAnswer(Table.OPERATOR, (), revision, False, clock.seconds())
+            fleet._tables.apply(answer, clock.seconds())
+        clock.advance(STORE_ANSWER_SECONDS)
+    assert seen == requests
+
+
 @pytest.mark.parametrize(("incarnation", "aborted"), [("1", False), ("2", True)])
 def test_second_stream_of_a_peer_replaces_only_an_older_start(fleet, incarnation, aborted):
     """A stream of another incarnation aborts the earlier one.
@@ -185,6 +260,31 @@
     assert len(lists[-1].rows) == 1 + others
 
 
+@pytest.mark.parametrize(("near", "only_near"), [(3, True), (1, False)], ids=["enough", "too few"])
+def test_agent_connects_to_entries_of_its_region(near, only_near):
+    """Copies of table changes for agents do not cross the links between regions."""
+    hello = Hello("agent-1", "1", "agent", "entries", "", "north", "a", 0.0)
+    reactor = MemoryReactorClock()
+    keys = KeyRing.make("secret")
+    context = StreamContext(reactor, PEER_TIMING, Metrics(), lambda purpose: hello, keys)
+    tables = TableCache(NullDecoder())
+    seeds = [Address("10.2.0.1", 1), Address("10.2.0.2", 1)]
+    fleet = FleetTask(context, tables, Roster(None), seeds, None, Observer(), Random(1))
+    fleet.start()
+    assert len(reactor.tcpClients) == len(seeds)
+    rows = [make_region_row("south", number) for number in range(1, 9)]
+    rows += [make_region_row("north", number) for number in range(1, 1 + near)]
+    fleet.stream_received(Stream(), EntryList(rows))
+    assert len(fleet._dialer.targets) == ENTRIES_PER_AGENT
+    if only_near:
+        assert all(target.startswith("10.1.") for target in fleet._dialer.targets)
+
+
+def make_region_row(region, number):
+    host = f"10.{1 if region == 'north' else 2}.0.{number}"
+    return EntryRow(f"{region}-{number}", 1, host, 1, 2, region, region, True, False)
+
+
 NAMES = [f"entry-{number}" for number in range(16)]
 
 
