Pass on every known version that its successor has not made due, seen being published or not

Cause: entries report only versions that they saw being published, in the last 60 s. If all entries that saw the first publication have started again since, or it is older, nobody tells an entry that starts after the second one that the first one exists, and the limit of the second one is not over yet. Ruled out: a version that no running entry knows (no entry placed on version 1 from 6.6 to 20.4 s). Change: a version is reported as long as it or its successor is younger than 60 s, with a mark whether the sender saw it being published. A time that was not observed is only taken for a version that the receiver has missed. A receiver that started after its successor counts contact_within from its start then, since a later time than the publication must not postpone its limit.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -61,9 +61,10 @@
 
     Entries send each other their roster rows and the revisions of their tables, so that an entry
     that cannot read from the store receives changes, and the time at which the store confirmed
-    them, from one that can. They also tell when they saw a version being published, for those that
-    learn of it late. Agents receive this gossip but do not send it. The time in `sent_at` bounds
-    the age of the contents: a message delayed in a suspended process is treated as old.
+    them, from one that can. They also tell which versions were published lately, and when, for
+    those that learn of them late or missed them. Agents receive this gossip but do not send it. The
+    time in `sent_at` bounds the age of the contents: a message delayed in a suspended process is
+    treated as old.
     """
 
     def __init__(
@@ -212,7 +213,9 @@
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
             published_at = now - published.age
-            self._tables.record_publication(published.model, published.version, published_at)
+            self._tables.record_publication(
+                published.model, published.version, published_at, published.observed
+            )
 
     def _request_changes(self, stream: PeerStream, table: Table, revision: int) -> None:
         """Request the changes up to a revision that the peer has announced.
@@ -267,8 +270,8 @@
                 age = self._tables.measure_age(table, now)
                 rows.append(TableRevision(table.value, revision, age))
         published = [
-            PublishedVersion(wanted.model, wanted.version, now - wanted.learnt_at)
-            for wanted in self._tables.list_observed_versions(now)
+            PublishedVersion(wanted.model, wanted.version, now - wanted.known_by, wanted.observed)
+            for wanted in self._tables.list_shared_versions(now)
         ]
         return TableRevisions(rows, now, published)
 
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -97,6 +97,14 @@
             return min(self.learnt_at, self.reported_at)
         return self.reported_at if isfinite(self.reported_at) else None
 
+    @property
+    def known_by(self) -> float:
+        """The earliest time at which a process is known to have had the version.
+
+        It is about the time of publication if `observed`, else a time after it.
+        """
+        return min(self.learnt_at, self.reported_at)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineStatus:
@@ -241,8 +249,10 @@
         if revision == state.revision:
             state.confirmed_at = max(state.confirmed_at, confirmed_at)
 
-    def record_publication(self, model: str, version: int, published_at: float) -> None:
-        """Record when another process saw a version being published; the earliest time counts.
+    def record_publication(
+        self, model: str, version: int, published_at: float, observed: bool
+    ) -> None:
+        """Record when another process had a version; the earliest time counts if it `observed` it.
 
         A version that this process has missed, because the next one replaced it in the store, is
         added: its deadline precedes that of the next. A version newer than the cached table is
@@ -257,9 +267,12 @@
         if wanted.version != version:
             if len(versions) >= MAX_VERSIONS_PER_MODEL:
                 return
-            versions.insert(index, WantedVersion(model, version, published_at))
+            # A later time than the publication must not postpone the limits after a start.
+            at_start = wanted.at_start and not observed
+            since = self._started_at if at_start else published_at
+            versions.insert(index, WantedVersion(model, version, since, at_start))
             known = None
-        elif published_at < wanted.reported_at:
+        elif observed and published_at < wanted.reported_at:
             versions[index] = replace(wanted, reported_at=published_at)
         else:
             return
@@ -269,18 +282,22 @@
                 extra={
                     "model": model,
                     "version": version,
+                    "observed": observed,
                     "earlier": None if known is None else round(known - published_at, 3),
                 },
             )
 
-    def list_observed_versions(self, now: float) -> list[WantedVersion]:
-        """Return the versions whose recent publication this process has observed."""
-        observed = []
+    def list_shared_versions(self, now: float) -> list[WantedVersion]:
+        """Return the versions that a process needs to know of if it missed their publication.
+
+        A version is needed until the one that replaced it is due everywhere.
+        """
+        shared = []
         for versions in self.wanted_versions.values():
-            for wanted in versions:
-                if wanted.observed and now - wanted.learnt_at <= MAX_SHARED_AGE_SECONDS:
-                    observed.append(wanted)
-        return observed
+            for wanted, successor in zip(versions, (*versions[1:], versions[-1]), strict=True):
+                if now - successor.known_by <= MAX_SHARED_AGE_SECONDS:
+                    shared.append(wanted)
+        return shared
 
     def list_items(self, table: Table, after: int) -> tuple[list[Item], list[str]]:
         """Return the items changed after a revision, and the keys of all items."""
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -49,11 +49,16 @@
 
 
 class PublishedVersion(msgspec.Struct, frozen=True, array_like=True):
-    """A version of a model that the sender saw being published `age` seconds ago."""
+    """A version of a model that the sender has known for `age` seconds.
+
+    `observed` is set if the sender followed the store when the version was published, so that
+    `age` is about the time since then; otherwise it may be shorter.
+    """
 
     model: str
     version: int
     age: float
+    observed: bool = True
 
 
 class TableRevisions(Message, frozen=True, array_like=True, tag="g-state"):
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -65,17 +65,20 @@
     tables.apply(TableAnswer(Table.OPERATOR, items, revision, False, now), now)
 
 
-def make_reports(*ages):
+def make_reports(*ages, restarted=False):
     """Return what an entry reports that followed the store.
 
-    It learnt of version 2 the first of `ages` ago, of version 3 the second, and so on.
+    It learnt of version 2 the first of `ages` ago, of version 3 the second, and so on. If it
+    `restarted`, version 2 was in the first answer that it received.
     """
     clock = Clock()
     clock.advance(500.0)  # clocks of different instances share no origin
-    tables = TableCache(VersionDecoder())
-    apply(tables, clock, (OTHER_ITEM,), 4)
+    tables = TableCache(VersionDecoder(), clock.seconds())
+    if not restarted:
+        apply(tables, clock, (OTHER_ITEM,), 4)
     for index, (age, next_age) in enumerate(zip(ages, (*ages[1:], 0.0), strict=True)):
         item = Item(VERSION_ITEM.key, VERSION_ITEM.revision + index, str(2 + index).encode())
+        tables.confirm(Table.OPERATOR, item.revision - 1, clock.seconds())
         apply(tables, clock, (item,), item.revision)
         clock.advance(age - next_age)
     stream = Stream()
@@ -167,3 +170,47 @@
     for report in make_reports(*published_for):
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("peer_restarted", "ages", "restarted", "learnt_for", "allowed"),
+    [
+        (True, (12.0, 5.5), False, 1.0, False),
+        (True, (7.2, 5.5), False, 1.0, False),
+        (True, (6.5, 5.5), False, 1.0, True),
+        (True, (12.0, 5.5), True, 2.2, False),
+        (True, (12.0, 5.5), True, 1.0, True),
+        (False, (90.0, 5.5), False, 1.0, False),
+        (False, (90.0, 5.5), True, 1.0, False),
+        (True, (2.5,), True, 2.2, False),
+    ],
+    ids=[
+        "stood still, peer restarted",
+        "stood still, peer restarted since the first version",
+        "stood still, peer restarted, not yet due",
+        "restarted, peer too",
+        "restarted, peer too, not yet held to the limits",
+        "stood still, first version long due",
+        "restarted, first version long due",
+        "the start of a peer is no publication",
+    ],
+)
+def test_entry_learns_of_a_missed_version_from_any_peer(
+    peer_restarted, ages, restarted, learnt_for, allowed
+):
+    """A version that no running entry saw being published is passed on to those that missed it.
+
+    The entry learnt of the newest version only, `learnt_for` ago; its engine has version 1.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    clock = harness.clock
+    if not restarted:
+        apply(harness.tables, clock, (OTHER_ITEM,), 4)
+        clock.advance(8.0)
+    newest = Item("version/m", 6, str(1 + len(ages)).encode())
+    apply(harness.tables, clock, (newest,), 6)
+    clock.advance(learnt_for)
+    fleet = make_fleet(clock, harness.tables)
+    for report in make_reports(*ages, restarted=peer_restarted):
+        fleet.stream_received(Stream(), report)
+    assert serves_outdated(harness) is allowed
