--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -67,9 +67,10 @@
 
     Entries send each other their roster rows and the revisions of their tables, so that an entry
     that cannot read from the store receives changes, and the time at which the store confirmed
-    them, from one that can. They also tell when they saw a version being published, for those that
-    learn of it late. Agents receive this gossip but do not send it. The time in `sent_at` bounds
-    the age of the contents: a message delayed in a suspended process is treated as old.
+    them, from one that can. They also tell which versions were published lately, and when, for
+    those that learn of them late or missed them. Agents receive this gossip but do not send it. The
+    time in `sent_at` bounds the age of the contents: a message delayed in a suspended process is
+    treated as old.
     """
 
     def __init__(
@@ -235,7 +236,9 @@
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
             published_at = now - published.age
-            self._tables.record_publication(published.model, published.version, published_at, now)
+            self._tables.record_publication(
+                published.model, published.version, published_at, published.observed
+            )
 
     def _request_changes(self, stream: PeerStream, table: Table) -> None:
         """Request the changes of a table from a peer that has announced a newer revision.
@@ -314,10 +317,12 @@
             if revision:
                 age = self._tables.measure_age(table, now)
                 rows.append(TableRevision(table.value, revision, age))
-        published = [
-            PublishedVersion(wanted.model, wanted.version, now - wanted.learnt_at)
-            for wanted in self._tables.list_observed_versions(now)
-        ]
+        published = []
+        for wanted in self._tables.list_shared_versions(now):
+            since = wanted.learnt_at if wanted.observed else wanted.known_by
+            published.append(
+                PublishedVersion(wanted.model, wanted.version, now - since, wanted.observed)
+            )
         return TableRevisions(rows, now, published)
 
     def _broadcast(self, message: Message) -> None:
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from bisect import bisect
+from bisect import bisect_left
 from dataclasses import dataclass, field, replace
 from enum import Enum
 from math import inf, isfinite
@@ -72,13 +72,13 @@
 class WantedVersion:
     """A published version of a model's weights, and when this process learnt of it.
 
-    `at_start` is set if the version was in the first answer that the process received, in which
-    case `learnt_at` is the start time of the process, or if only another process has reported it.
-    `followed` is set if this process ran without a break since the store last confirmed that the
-    version was not published, at `unpublished_at`; `learnt_at` then stands for the publication.
-    Otherwise `learnt_at` is when the process went on after the break.
-    `reported_at` is the earliest time of publication reported by other processes, infinite if none
-    was. Times are in seconds of this process's clock.
+    `at_start` is set if the version was in the first answer that the process received; `learnt_at`
+    is the start time of the process in that case. `followed` is set if this process ran without a
+    break since the store last confirmed that the version was not published, at `unpublished_at`;
+    `learnt_at` then stands for the publication. Otherwise it is when the process went on after the
+    break. `reported_at` is the earliest time of publication reported by other processes, and
+    `held_since` the earliest time since which one has the version; infinite if none has reported
+    it. Times are in seconds of this process's clock.
     """
 
     model: str
@@ -88,6 +88,7 @@
     followed: bool = True
     unpublished_at: float = -inf
     reported_at: float = inf
+    held_since: float = inf
 
     @property
     def published_by(self) -> float | None:
@@ -118,7 +119,13 @@
         """
         if self.published_by is not None:
             return self.published_by + version_within
-        return max(self.unpublished_at + version_within, self.learnt_at + contact_within)
+        limit = max(self.unpublished_at + version_within, self.learnt_at + contact_within)
+        return limit if self.at_start else min(limit, self.held_since + version_within)
+
+    @property
+    def known_by(self) -> float:
+        """The earliest time at which a process is known to have had the version."""
+        return min(self.learnt_at, self.reported_at, self.held_since)
 
     @property
     def observed(self) -> bool:
@@ -285,47 +292,51 @@
         if revision == state.revision:
             state.renew(confirmed_at, confirmed_at)
 
-    def record_publication(self, model: str, version: int, published_at: float, now: float) -> None:
-        """Record when another process saw a version being published; the earliest time counts.
+    def record_publication(
+        self, model: str, version: int, published_at: float, observed: bool
+    ) -> None:
+        """Record since when another process has a version; `observed` if it saw the publication.
 
-        A version that a newer one has replaced may be unknown here and is added, since its limit
-        still counts. One that is newer than the cached table is ignored; it is reported again.
+        The earliest observed time counts. A version that a newer one has replaced may be unknown
+        here and is added, since its limit still counts. One that is newer than the cached table is
+        ignored; it is reported again.
         """
         versions = self.wanted_versions.get(model, [])
-        known_versions = [wanted.version for wanted in versions]
-        if versions and version < versions[-1].version and version not in known_versions:
-            replaced = WantedVersion(model, version, now, at_start=True)
-            versions.insert(bisect(known_versions, version), replaced)
-            del versions[:-MAX_VERSIONS_PER_MODEL]
-        for index, wanted in enumerate(versions):
-            if wanted.version != version or published_at >= wanted.reported_at:
-                continue
-            known = wanted.published_by
-            versions[index] = replace(wanted, reported_at=published_at)
-            if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
-                logger.info(
-                    "publication time learnt from a peer",
-                    extra={
-                        "model": model,
-                        "version": version,
-                        "earlier": None if known is None else round(known - published_at, 3),
-                    },
-                )
+        if not versions or version > versions[-1].version:
+            return
+        index = bisect_left(versions, version, key=lambda wanted: wanted.version)
+        wanted = versions[index]
+        if wanted.version != version:
+            if len(versions) >= MAX_VERSIONS_PER_MODEL:
+                return
+            wanted = replace(wanted, version=version, followed=False, reported_at=inf)
+            wanted = replace(wanted, held_since=published_at)
+            versions.insert(index, wanted)
+        if not observed or published_at >= wanted.reported_at:
+            return
+        known = wanted.published_by
+        versions[index] = replace(wanted, reported_at=published_at)
+        if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
+            logger.info(
+                "publication time learnt from a peer",
+                extra={
+                    "model": model,
+                    "version": version,
+                    "earlier": None if known is None else round(known - published_at, 3),
+                },
+            )
 
-    def list_observed_versions(self, now: float) -> list[WantedVersion]:
-        """Return the versions whose publication this process has observed and others may need.
+    def list_shared_versions(self, now: float) -> list[WantedVersion]:
+        """Return the versions that a process needs to know of if it missed their publication.
 
-        These are the recent ones and the one before them, whose limit an entry that restarts
-        would otherwise not know.
+        A version is needed until the one that replaced it is due everywhere.
         """
-        observed = []
+        shared = []
         for versions in self.wanted_versions.values():
-            for wanted in reversed(versions):
-                if wanted.observed:
-                    observed.append(wanted)
-                if now - wanted.learnt_at > MAX_SHARED_AGE_SECONDS:
-                    break
-        return observed
+            for wanted, successor in zip(versions, (*versions[1:], versions[-1]), strict=True):
+                if now - successor.known_by <= MAX_SHARED_AGE_SECONDS:
+                    shared.append(wanted)
+        return shared
 
     def list_items(self, table: Table, after: int) -> tuple[list[Item], list[str]]:
         """Return the items changed after a revision, and the keys of all items."""
