Ask another peer for changed endpoints after 0.4 s

Since one request per table is pending at a time, a change of endpoints could wait 1 s for a peer that stands still, and then for the next announcement, while a leaving endpoint has to be known within 2 s. Changes of endpoints are small, so that a second copy costs little. The rows of the endpoint table use the new limit and could not run on the code before.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -33,6 +33,8 @@
 
 TICK_SECONDS = 0.5
 REQUEST_TIMEOUT_SECONDS = 1.0  # a peer normally answers within a few round trips of milliseconds
+# Changes of endpoints are small, and a leaving endpoint must be known everywhere within 2 s.
+ENDPOINTS_REQUEST_TIMEOUT_SECONDS = 0.4
 # An answer of the store normally arrives within this time after the first announcement of a change.
 STORE_ANSWER_SECONDS = 0.4
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
@@ -245,13 +247,16 @@
 
         One request per table is pending at a time, since all peers announce a change at once and
         each would send a copy of it. Another peer is asked if the stream is lost, or if there is no
-        answer within `REQUEST_TIMEOUT_SECONDS`.
+        answer in time.
         """
         if self._expects_answer_of_store(table):
             return
         now = self._context.reactor.seconds()
+        timeout = REQUEST_TIMEOUT_SECONDS
+        if table is Table.ENDPOINTS:
+            timeout = ENDPOINTS_REQUEST_TIMEOUT_SECONDS
         pending = self._pending_requests.get(table)
-        if pending is not None and now - pending[1] < REQUEST_TIMEOUT_SECONDS:
+        if pending is not None and now - pending[1] < timeout:
             return
         self._pending_requests[table] = (stream.peer_id, now)
         stream.send(TableChangesRequest(table.value, self._tables.get_revision(table)))
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.gateway.fleet import (
+    ENDPOINTS_REQUEST_TIMEOUT_SECONDS,
     ENTRIES_PER_AGENT,
     FALLBACK_ENTRIES,
     REQUEST_TIMEOUT_SECONDS,
@@ -149,17 +150,27 @@
     assert streams[1].count_requests() == 1
 
 
+@pytest.mark.parametrize(
+    ("table", "timeout"),
+    [
+        (Table.OPERATOR, REQUEST_TIMEOUT_SECONDS),
+        (Table.ENDPOINTS, ENDPOINTS_REQUEST_TIMEOUT_SECONDS),
+    ],
+)
 @pytest.mark.parametrize("lost", ["stream", "answer"])
-def test_change_is_requested_from_another_peer_when_the_first_is_lost(fleet, clock, lost):
+def test_change_is_requested_from_another_peer_when_the_first_is_lost(
+    fleet, clock, table, timeout, lost
+):
+    report = TableRevisions([TableRevision(table.value, 5, 0.1)], 0.0)
     first, second = Stream(), Stream(peer_id="entry-3")
     fleet.stream_opened(first)
     fleet.stream_opened(second)
-    fleet.stream_received(first, TABLE_REVISIONS)
+    fleet.stream_received(first, report)
     if lost == "stream":
         fleet.stream_closed(first, "lost")
     else:
-        clock.advance(REQUEST_TIMEOUT_SECONDS)
-    fleet.stream_received(second, TABLE_REVISIONS)
+        clock.advance(timeout)
+    fleet.stream_received(second, report)
     assert (first.count_requests(), second.count_requests()) == (1, 1)
 
 
