Ask an engine for the version that it has, not for the least that may serve

Not seen by a caller so far. Between the limits of two versions, a request that is placed on an engine with the newer one carried X-Expect-Version with the older one. An engine whose weights have a different version answers that with 421 (protocol), so that every such engine would be backed off and callers refused until the newer version's limit. Cause: the header named the least version that may serve. What is placed on an older engine is excluded before. Evidence: the new row of test_overdue_version_is_the_least_that_answers failed before. Change: the header names the version in the engine's record, as before only once a limit requires a version. The test's other rows are as strict as they were: no attempt and a 503, or one attempt with that header.

--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -326,12 +326,14 @@
     def _send(self, exchange: Exchange, state: EndpointState, now: float) -> None:
         admission, record = exchange.admission, state.record
         min_version = self._find_min_version(exchange, now)
+        served = record.versions.get(admission.head.model)
         terms = AttemptTerms(
             endpoint=record.endpoint,
             team=admission.team.name,
             time_left=max(0.001, admission.expires_at - now),
             priority=min(admission.priority, LOWEST_PRIORITY),
-            version=exchange.version or min_version or None,
+            # The engine rejects any other version, so it is asked for the one that it has.
+            version=exchange.version or (served if min_version else None),
             resume_after=exchange.resume_after,
         )
         head, body = admission.head, exchange.incoming.body
@@ -345,7 +347,7 @@
                 "own": state.own_in_flight,
                 "load": round(state.estimate_load(now), 1),
                 "predicted": round(state.predict_start(exchange.size, now), 3),
-                "version": record.versions.get(head.model),
+                "version": served,
                 "min_version": min_version,
             },
         )
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -321,11 +321,12 @@
     assert caller.value().index(b"one") < caller.value().index(b"two")
 
 
-@pytest.mark.parametrize(("version", "asked"), [(1, 0), (2, 1)])
+@pytest.mark.parametrize(("version", "asked"), [(1, None), (2, b"2"), (3, b"3")])
 def test_overdue_version_is_the_least_that_answers(version, asked):
     """Once a version's deadline has passed, no older version may serve requests.
 
-    Publishing a third version does not postpone the deadline of the second.
+    Publishing a third version does not postpone the deadline of the second. An engine that has
+    the third already is asked for it: it would reject a request for the second.
     """
     harness = GatewayHarness(engines=0)
     harness.add_endpoint("m-1", "llm", 180, {"m": version})
@@ -334,12 +335,11 @@
     harness.clock.advance(7.1)
     harness.confirm()
     caller = harness.send_request("model", headers=("X-Model: m", "X-Token-Counts: 100,50"))
-    attempts = 0
     endpoint = harness.accept()
+    assert (endpoint is None) is (asked is None)
     if endpoint is not None:
-        attempts = endpoint.value().lower().count(b"x-expect-version: 2")
-    assert attempts == asked
-    assert (read_status(caller) == 503) is (asked == 0)
+        assert endpoint.value().lower().count(b"x-expect-version: " + (asked or b"")) == 1
+    assert (read_status(caller) == 503) is (asked is None)
 
 
 @pytest.mark.parametrize("begun", [False, True])
