Ask for a changed catalogue at one peer, and only if the store does not send it

Cause: an entry that learns of a new revision from its peers requested the table from every one of them, although it reads the operator table from the store itself; agents requested it from both their entries. The copies filled the links between regions for about 4.8 s. A request placed 1.2 s before the limit arrived 3.6 s after it, and its withdrawal was queued behind it. Change: the operator table is requested from one peer at a time, and by an entry only once the store has not confirmed its table for 1 s. Changes of endpoints are small and urgent and are requested from every peer as before. Agents that take the table from another region still fill the link.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -33,6 +33,8 @@
 
 TICK_SECONDS = 0.5
 REQUEST_TIMEOUT_SECONDS = 1.0  # a peer normally answers within a few round trips of milliseconds
+# The store answers a process that reads a table within this time, unless the store is out of reach.
+OWN_ANSWER_SECONDS = 1.0
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
 FALLBACK_ENTRIES = 4  # further entries sent to an agent, in case all that it is connected to fail
@@ -43,6 +45,10 @@
 class FleetObserver(ABC):
     """Receives notifications from the fleet task."""
 
+    def reads_table(self, table: Table) -> bool:
+        """Return whether this process reads the table from the store itself."""
+        return False
+
     @abstractmethod
     def tables_changed(self) -> None:
         """Handle a change of the tables."""
@@ -87,6 +93,7 @@
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
         self._pending_requests: dict[tuple[InstanceId, Table], tuple[int, float]] = {}
+        self._catalogue_request: tuple[InstanceId, float] | None = None
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
@@ -139,7 +146,7 @@
         """Remove the stream and its pending requests."""
         peer = stream.peer_id
         for table in Table:
-            self._pending_requests.pop((peer, table), None)
+            self._finish_request(peer, table)
         streams = self._streams.get(peer, [])
         if stream in streams:
             streams.remove(stream)
@@ -221,15 +228,32 @@
         """Request the changes up to a revision that the peer has announced.
 
         A request for the same revision is repeated only if it was not answered within
-        `REQUEST_TIMEOUT_SECONDS`.
+        `REQUEST_TIMEOUT_SECONDS`. The operator table holds whole catalogues, and copies of a large
+        one would fill the links between regions: it is requested from one peer at a time, and only
+        if the store does not send it.
         """
         now = self._context.reactor.seconds()
+        if table is Table.OPERATOR:
+            age = self._tables.measure_age(table, now)
+            if self._observer.reads_table(table) and age < OWN_ANSWER_SECONDS:
+                return
+            if self._catalogue_request is not None:
+                _, asked_at = self._catalogue_request
+                if now - asked_at < REQUEST_TIMEOUT_SECONDS:
+                    return
+            self._catalogue_request = (stream.peer_id, now)
         requested, requested_at = self._pending_requests.get((stream.peer_id, table), (0, 0.0))
         if requested == revision and now - requested_at < REQUEST_TIMEOUT_SECONDS:
             return
         self._pending_requests[stream.peer_id, table] = (revision, now)
         stream.send(TableChangesRequest(table.value, self._tables.get_revision(table)))
 
+    def _finish_request(self, peer: InstanceId, table: Table) -> None:
+        self._pending_requests.pop((peer, table), None)
+        asked, _ = self._catalogue_request or (None, 0.0)
+        if table is Table.OPERATOR and asked == peer:
+            self._catalogue_request = None
+
     def _send_changes(self, stream: PeerStream, message: TableChangesRequest) -> None:
         table = Table(message.table)
         now = self._context.reactor.seconds()
@@ -241,7 +265,7 @@
 
     def _apply_changes(self, stream: PeerStream, message: TableChanges) -> None:
         table = Table(message.table)
-        self._pending_requests.pop((stream.peer_id, table), None)
+        self._finish_request(stream.peer_id, table)
         now = self._context.reactor.seconds()
         received = [Item(row.key, row.revision, row.value) for row in message.items]
         items = self._tables.merge_items(table, received, message.keys)
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -285,6 +285,10 @@
             return None
         return self.tables.get_revision(table)
 
+    def reads_table(self, table: Table) -> bool:
+        """Return whether this entry reads the table from the store."""
+        return self.choose_start_revision(table) is not None
+
     def handle_answer(self, answer: TableAnswer) -> None:
         """Apply an answer of the store; announce it to the peers if it changed the tables."""
         if self.tables.apply(answer, self.reactor.seconds()):
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -12,6 +12,7 @@
 
 from coltsfootshift.gateway.fleet import (
     FALLBACK_ENTRIES,
+    OWN_ANSWER_SECONDS,
     REQUEST_TIMEOUT_SECONDS,
     FleetObserver,
     FleetTask,
@@ -33,6 +34,11 @@
 
 
 class Observer(FleetObserver):
+    reads = False
+
+    def reads_table(self, table):
+        return self.reads
+
     def tables_changed(self):
         pass
 
@@ -112,6 +118,53 @@
     assert second.count_requests() == (1 if lost == "stream" else 2)
 
 
+@pytest.mark.parametrize("lost", ["stream", "answer", None])
+def test_catalogue_is_asked_of_one_peer_at_a_time(fleet, clock, lost):
+    """A large catalogue that every peer sends at once fills the link and delays requests on it.
+
+    Another peer is asked once the first one is lost or has not answered in time.
+    """
+    first, second = Stream(peer_id="peer-1"), Stream(peer_id="peer-2")
+    for stream in (first, second):
+        fleet.stream_opened(stream)
+        fleet.stream_received(stream, TABLE_REVISIONS)
+    assert (first.count_requests(), second.count_requests()) == (1, 0)
+    if lost == "stream":
+        fleet.stream_closed(first, "lost")
+    elif lost == "answer":
+        clock.advance(REQUEST_TIMEOUT_SECONDS)
+    fleet.stream_received(second, TABLE_REVISIONS)
+    assert second.count_requests() == (0 if lost is None else 1)
+
+
+def test_leaving_endpoint_is_asked_of_every_peer(fleet):
+    """Changes of endpoints are small and urgent; a peer that just failed must not delay them."""
+    revisions = TableRevisions([TableRevision(Table.ENDPOINTS.value, 5, 0.1)], 0.0)
+    streams = [Stream(peer_id="peer-1"), Stream(peer_id="peer-2")]
+    for stream in streams:
+        fleet.stream_opened(stream)
+        fleet.stream_received(stream, revisions)
+    assert [stream.count_requests() for stream in streams] == [1, 1]
+
+
+@pytest.mark.parametrize(
+    ("reads", "confirmed_for", "asked"),
+    [(True, 0.5, 0), (True, OWN_ANSWER_SECONDS, 1), (False, 0.5, 1)],
+    ids=["its own answer is on its way", "no answer came", "it does not read the table"],
+)
+def test_entry_that_reads_a_table_itself_waits_for_its_answer(
+    fleet, clock, reads, confirmed_for, asked
+):
+    """Peers are asked for what the store does not send; both would double the load of the link."""
+    fleet._observer.reads = reads
+    fleet._tables.apply(TableAnswer(Table.OPERATOR, (), 4, True, 0.0), 0.0)
+    clock.advance(confirmed_for)
+    stream = Stream()
+    fleet.stream_opened(stream)
+    fleet.stream_received(stream, TABLE_REVISIONS)
+    assert stream.count_requests() == asked
+
+
 @pytest.mark.parametrize(("incarnation", "aborted"), [("1", False), ("2", True)])
 def test_second_stream_of_a_peer_replaces_only_an_older_start(fleet, incarnation, aborted):
     """A stream of another incarnation aborts the earlier one.
