Test answers without end on the connections to endpoints

An endpoint in trouble may send bytes that are no answer, without end. This table feeds endless heads, chunk sizes, chunk extensions, trailers, bytes on idle connections and whole bodies to the gateway and checks the bytes taken, the caller's outcome and that nothing runs twice.

--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,126 @@
+"""Bytes of endpoints that never become an answer, sent without end.
+
+The connection must be closed within a limit of bytes and time. The caller gets the answer of
+another endpoint or a final failure, and a request that may have run is sent again only if
+it may repeat.
+"""
+
+from __future__ import annotations
+
+import pytest
+from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
+from test_gateway_answers import read_body, read_chunks, read_status
+from twisted.internet.error import ConnectionDone
+
+from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES
+from coltsfootshift.gateway.links import MAX_HEAD_BYTES
+
+PIECE_BYTES = 4096
+TICK_SECONDS = 0.1
+SLACK_SECONDS = 0.2
+LATE_DEADLINE_SECONDS = 20.0
+CHUNKED = make_response(chunked=True)
+OK = make_response(b"ok")
+STREAM_OK = CHUNKED + make_chunk(make_event(1)) + make_chunk(b"")
+
+
+def repeat(text: bytes) -> bytes:
+    return text * (PIECE_BYTES // len(text))
+
+
+def feed(endpoint, piece: bytes, most: int) -> int:
+    """Send a piece again and again until the connection is closed; return the bytes taken."""
+    taken = 0
+    while not endpoint.aborted and taken <= most:
+        endpoint.protocol.dataReceived(piece)
+        taken += len(piece)
+    return taken
+
+
+def dribble(harness, endpoint, piece: bytes, seconds: float) -> float:
+    """Send a piece every `TICK_SECONDS` until the connection is closed; return the time taken."""
+    started = harness.clock.seconds()
+    while not endpoint.aborted and harness.clock.seconds() - started < seconds:
+        endpoint.protocol.dataReceived(piece)
+        harness.clock.advance(TICK_SECONDS)
+        harness.confirm()
+    return harness.clock.seconds() - started
+
+
+def postpone_deadline(harness):
+    for exchange in harness.gateway._exchanges:
+        exchange._deadline_timer.delay(LATE_DEADLINE_SECONDS)
+
+
+def check_outcome(harness, route, caller):
+    """Check that the request is retried only where that is allowed, and how it ends."""
+    second = harness.accept()
+    if route in ("book", "once"):
+        assert second is None
+        assert caller.aborted or read_status(caller) == 502
+        assert not caller.value().endswith(b"\r\n0\r\n\r\n")
+        return
+    assert second is not None
+    second.protocol.dataReceived(STREAM_OK if route == "talk" else OK)
+    assert read_status(caller) == 200
+    body = read_chunks(caller) if route == "talk" else read_body(caller)
+    assert body == (make_event(1) if route == "talk" else b"ok")
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-A: ", repeat(b"a")),
+        (b"HTTP/1.1 200 OK\r\n", repeat(b"X-A: a\r\n")),
+        (b"HTTP/1.1 200 ", repeat(b"a")),
+        (b"", repeat(b"\r\n")),
+        (b"", repeat(b"a")),
+        (CHUNKED, repeat(b"0")),
+        (CHUNKED + b"5;", repeat(b"a")),
+        (CHUNKED + b"0\r\n", repeat(b"X-A: a\r\n")),
+    ],
+    ids=[
+        "header",
+        "headers",
+        "reason",
+        "blank lines",
+        "no status line",
+        "chunk size",
+        "chunk extension",
+        "trailers",
+    ],
+)
+def test_head_without_end(route, start, piece):
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(start)
+    assert feed(endpoint, piece, 4 * MAX_HEAD_BYTES) <= MAX_HEAD_BYTES + PIECE_BYTES
+    check_outcome(harness, route, caller)
+
+
+@pytest.mark.parametrize("state", ["idle", "after an answer", "cancelled"])
+def test_bytes_that_nobody_waits_for(state):
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.send_request()
+    endpoint = harness.accept()
+    if state == "cancelled":
+        caller.disconnect(ConnectionDone())
+    else:
+        endpoint.protocol.dataReceived(OK + (b"a" if state == "after an answer" else b""))
+        assert read_body(caller) == b"ok"
+    assert feed(endpoint, repeat(b"a"), MAX_HEAD_BYTES) <= PIECE_BYTES
+    assert endpoint.aborted
+
+
+def test_whole_body_without_end_is_cut_at_the_deadline():
+    """A sealed answer that only never ends can't be told from a long one before the deadline."""
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.send_request("book")
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(CHUNKED)
+    feed(endpoint, make_chunk(repeat(b"a")), 2 * MAX_BUFFERED_BYTES)
+    harness.clock.advance(1.0)
+    assert endpoint.aborted and caller.aborted
+    assert not caller.value().endswith(b"\r\n0\r\n\r\n")
