Bound the informational responses of an endpoint

An endpoint that sent informational responses (100, 102, 103) without end held its caller until the deadline, and this process read and parsed all of them meanwhile. The limit on a head applies to one that is incomplete; each of these is complete, and the connection passed over them without counting. At most eight are passed over now, then the connection is aborted and the attempt fails.

--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -22,6 +22,7 @@
 MAX_IDLE_SECONDS = 4.0  # below the keep-alive of endpoints, usually 5 s or more
 KEEP_ALIVE_MARGIN_SECONDS = 1.0  # endpoints announce their timeout in whole seconds
 MAX_HEAD_BYTES = 64 * 1024
+MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
 
 
 class ResponseReceiver(ABC):
@@ -62,6 +63,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: ResponseReceiver | None = None
         self._request = ""
+        self._informational_count = 0
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
 
@@ -95,6 +97,7 @@
         """
         self._receiver = receiver
         self._request = request
+        self._informational_count = 0
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head)
         if body:
@@ -144,6 +147,8 @@
                 self._receiver.body_received(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
+            elif isinstance(event, h11.InformationalResponse):
+                self._handle_informational()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail("connection closed before an answer")
                 return
@@ -159,6 +164,13 @@
         if self._receiver is not None:
             self._receiver.head_received(head)
 
+    def _handle_informational(self) -> None:
+        """Skip an informational response; each is complete, so h11 does not limit their number."""
+        self._informational_count += 1
+        if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+            self._fail("too many informational responses")
+            self._abort()
+
     def _handle_end(self) -> None:
         receiver, self._receiver = self._receiver, None
         http = self._http
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -124,3 +124,23 @@
     harness.clock.advance(1.0)
     assert endpoint.aborted and caller.aborted
     assert not caller.value().endswith(b"\r\n0\r\n\r\n")
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+@pytest.mark.parametrize("status", [100, 102, 103])
+def test_informational_answers_without_end(route, status):
+    """Each of them is complete, so that no limit on an incomplete head applies."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    piece = repeat(b"HTTP/1.1 %d X\r\n\r\n" % status)
+    assert feed(endpoint, piece, 4 * MAX_HEAD_BYTES) <= MAX_HEAD_BYTES
+    check_outcome(harness, route, caller)
+
+
+def test_few_informational_answers_are_passed_over():
+    harness = GatewayHarness()
+    caller = harness.send_request("book")
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(b"HTTP/1.1 100 X\r\n\r\n" + b"HTTP/1.1 103 X\r\n\r\n" + OK)
+    assert read_body(caller) == b"ok" and not endpoint.aborted
