Refuse bytes that begin no answer at the first of them

Bytes that are no HTTP answer were found out only at a blank line or after 64 KiB, so that a caller of an endpoint that sent less, or a byte at a time, waited for them until its deadline. The first five bytes of each response are compared with the start of a status line now; the cost is one slice and one comparison for a response.

test_bytes_that_begin_no_answer failed before for the pieces "a" and "HTTP 1"; the other two pieces, which h11 refuses by itself, passed.

--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -22,6 +22,7 @@
 MAX_IDLE_SECONDS = 4.0  # below the keep-alive of endpoints, usually 5 s or more
 KEEP_ALIVE_MARGIN_SECONDS = 1.0  # endpoints announce their timeout in whole seconds
 MAX_HEAD_BYTES = 64 * 1024
+RESPONSE_START = b"HTTP/"
 MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
 
 
@@ -63,6 +64,7 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: ResponseReceiver | None = None
         self._request = ""
+        self._start = b""
         self._informational_count = 0
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
@@ -97,6 +99,7 @@
         """
         self._receiver = receiver
         self._request = request
+        self._start = b""
         self._informational_count = 0
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head)
@@ -115,6 +118,12 @@
         if self._receiver is None:
             self._abort()
             return
+        if len(self._start) < len(RESPONSE_START):
+            self._start += data[: len(RESPONSE_START) - len(self._start)]
+            if not RESPONSE_START.startswith(self._start):
+                self._fail(f"no HTTP answer: begins with {self._start!r}")
+                self._abort()
+                return
         self._http.receive_data(data)
         self._read_events()
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -144,3 +144,24 @@
     endpoint = harness.accept()
     endpoint.protocol.dataReceived(b"HTTP/1.1 100 X\r\n\r\n" + b"HTTP/1.1 103 X\r\n\r\n" + OK)
     assert read_body(caller) == b"ok" and not endpoint.aborted
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+@pytest.mark.parametrize("piece", [b"a", b"HTTP 1", b"\n", b" HTTP/1.1 200 OK"])
+def test_bytes_that_begin_no_answer(route, piece):
+    """The caller must not wait for the rest of a head whose first bytes are none."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(piece)
+    assert endpoint.aborted
+    check_outcome(harness, route, caller)
+
+
+def test_answer_may_arrive_byte_by_byte():
+    harness = GatewayHarness()
+    caller = harness.send_request("book")
+    endpoint = harness.accept()
+    for position in range(len(OK)):
+        endpoint.protocol.dataReceived(OK[position : position + 1])
+    assert read_body(caller) == b"ok" and not endpoint.aborted
