Limit the time in which the head of an answer has to arrive

An endpoint that sent the head of an answer a byte at a time, without end, held its caller until the deadline: only the size of a head was limited. A head that is incomplete after its first byte was read has 1.5 s to be completed now; then the connection is aborted and the attempt fails. The timer is started only for a head that is not complete with the first read, so that the usual answer pays one comparison. An informational response ends the time of its own head only; their number is limited.

--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -22,6 +22,7 @@
 MAX_IDLE_SECONDS = 4.0  # below the keep-alive of endpoints, usually 5 s or more
 KEEP_ALIVE_MARGIN_SECONDS = 1.0  # endpoints announce their timeout in whole seconds
 MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_SECONDS = 1.5  # a head is sent at once; the time includes that for lost packets
 RESPONSE_START = b"HTTP/"
 MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
 
@@ -66,6 +67,7 @@
         self._request = ""
         self._start = b""
         self._informational_count = 0
+        self._head_timer: Any = None
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
 
@@ -126,6 +128,8 @@
                 return
         self._http.receive_data(data)
         self._read_events()
+        if self._http.their_state is h11.SEND_RESPONSE and self._head_timer is None:
+            self._limit_head_time()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Fail the request in flight.
@@ -134,6 +138,7 @@
         was closed cleanly.
         """
         self._lost = True
+        self._cancel_head_timer()
         if self._receiver is not None and reason.check(connectionDone.type):
             self._http.receive_data(b"")
             self._read_events()
@@ -162,7 +167,23 @@
                 self._fail("connection closed before an answer")
                 return
 
+    def _limit_head_time(self) -> None:
+        """Start the time within which a head has to be complete, unless none has begun."""
+        if self._receiver is not None and self._http.trailing_data[0]:
+            self._head_timer = self._pool.reactor.callLater(MAX_HEAD_SECONDS, self._on_head_timeout)
+
+    def _on_head_timeout(self) -> None:
+        self._head_timer = None
+        self._fail(f"no complete head within {MAX_HEAD_SECONDS} s of its first byte")
+        self._abort()
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def _handle_head(self, event: h11.Response) -> None:
+        self._cancel_head_timer()
         head = self._pool.dialect.parse_response(event.status_code, event.headers)
         if head.request != self._request:
             self._fail(f"the answer names the request {head.request!r}")
@@ -175,6 +196,7 @@
 
     def _handle_informational(self) -> None:
         """Skip an informational response; each is complete, so h11 does not limit their number."""
+        self._cancel_head_timer()
         self._informational_count += 1
         if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
             self._fail("too many informational responses")
@@ -201,6 +223,7 @@
     def _abort(self) -> None:
         if not self._lost:
             self._lost = True
+            self._cancel_head_timer()
             self.transport.abortConnection()
 
 
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -13,7 +13,7 @@
 from twisted.internet.error import ConnectionDone
 
 from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES
-from coltsfootshift.gateway.links import MAX_HEAD_BYTES
+from coltsfootshift.gateway.links import MAX_HEAD_BYTES, MAX_HEAD_SECONDS
 
 PIECE_BYTES = 4096
 TICK_SECONDS = 0.1
@@ -165,3 +165,25 @@
     for position in range(len(OK)):
         endpoint.protocol.dataReceived(OK[position : position + 1])
     assert read_body(caller) == b"ok" and not endpoint.aborted
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+def test_head_that_dribbles_without_end(route):
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    postpone_deadline(harness)
+    endpoint.protocol.dataReceived(b"HTTP/1.1 200 OK\r\nX-A: ")
+    assert dribble(harness, endpoint, b"a", 10.0) <= MAX_HEAD_SECONDS + SLACK_SECONDS
+    check_outcome(harness, route, caller)
+
+
+def test_time_for_a_head_ends_with_it():
+    harness = GatewayHarness()
+    harness.send_request("once")
+    endpoint = harness.accept()
+    postpone_deadline(harness)
+    endpoint.protocol.dataReceived(CHUNKED[:30])
+    endpoint.protocol.dataReceived(CHUNKED[30:])
+    harness.clock.advance(MAX_HEAD_SECONDS + SLACK_SECONDS)
+    assert not endpoint.aborted
