Limit the size of an incomplete event of a stream

An endpoint that sent a stream without an end of an event was read without limit until the deadline: the buffer for an incomplete event grew with all of it, and each read copied and searched the whole buffer again, so that the processor time grew with the square of the bytes. An event of more than 64 KiB fails the attempt now; the stream is resumed elsewhere if it may be, else it ends as broken. The search goes on where the last one ended.

--- a/src/coltsfootshift/gateway/events.py
+++ b/src/coltsfootshift/gateway/events.py
@@ -4,9 +4,12 @@
 
 import re
 
-__all__ = ["EventStreamBuffer"]
+__all__ = ["EventStreamBuffer", "MAX_EVENT_BYTES"]
+
+MAX_EVENT_BYTES = 64 * 1024  # an event holds a few tokens, mostly less than 1 KB
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
+_EVENT_END_BYTES = 4
 _ID_FIELD = re.compile(rb"(?:^|\n|\r)id:[ ]?([^\r\n]*)")
 
 
@@ -23,7 +26,13 @@
     def __init__(self, last_id: str) -> None:
         self.last_id = last_id
         self.event_count = 0
-        self._buffer = b""
+        self._buffer = bytearray()
+        self._searched_bytes = 0
+
+    @property
+    def overlong(self) -> bool:
+        """Whether the incomplete event is longer than any event of an answer."""
+        return len(self._buffer) > MAX_EVENT_BYTES
 
     @property
     def at_event_boundary(self) -> bool:
@@ -33,16 +42,21 @@
     def feed(self, data: bytes) -> bytes:
         """Buffer received bytes and return those of the events that are complete now."""
         self._buffer += data
+        # The end of an event may have begun in the bytes that were searched before.
+        start = max(0, self._searched_bytes - _EVENT_END_BYTES + 1)
         end = 0
-        for match in _EVENT_END.finditer(self._buffer):
-            self._record_event(self._buffer[end : match.end()])
+        for match in _EVENT_END.finditer(self._buffer, start):
+            self._record_event(bytes(self._buffer[end : match.end()]))
             end = match.end()
-        complete, self._buffer = self._buffer[:end], self._buffer[end:]
+        complete = bytes(self._buffer[:end])
+        del self._buffer[:end]
+        self._searched_bytes = len(self._buffer)
         return complete
 
     def discard_partial(self) -> None:
         """Discard an incomplete event, before the stream resumes from another endpoint."""
-        self._buffer = b""
+        self._buffer.clear()
+        self._searched_bytes = 0
 
     def _record_event(self, event: bytes) -> None:
         self.event_count += 1
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -208,6 +208,8 @@
             events = self._event_buffer.feed(data)
             if events:
                 self.incoming.write(events)
+            if self._event_buffer.overlong:
+                self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
         self._buffered.append(data)
         self._buffered_bytes += len(data)
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -7,11 +7,14 @@
 
 from __future__ import annotations
 
+import time
+
 import pytest
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
-from test_gateway_answers import read_body, read_chunks, read_status
+from test_gateway_answers import open_stream, read_body, read_chunks, read_status
 from twisted.internet.error import ConnectionDone
 
+from coltsfootshift.gateway.events import MAX_EVENT_BYTES, EventStreamBuffer
 from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES
 from coltsfootshift.gateway.links import MAX_HEAD_BYTES, MAX_HEAD_SECONDS
 
@@ -187,3 +190,30 @@
     endpoint.protocol.dataReceived(CHUNKED[30:])
     harness.clock.advance(MAX_HEAD_SECONDS + SLACK_SECONDS)
     assert not endpoint.aborted
+
+
+@pytest.mark.parametrize("route", ["talk", "once"])
+@pytest.mark.parametrize("piece", [repeat(b"a"), repeat(b"data: a\n"), repeat(b": a\r\n")])
+def test_event_without_end(route, piece):
+    harness = GatewayHarness()
+    caller, endpoint = open_stream(harness, route)
+    taken = feed(endpoint, make_chunk(piece), 4 * MAX_EVENT_BYTES)
+    assert taken <= MAX_EVENT_BYTES + 2 * PIECE_BYTES
+    check_outcome(harness, route, caller)
+
+
+def test_event_that_arrives_byte_by_byte_costs_linear_time():
+    buffer = EventStreamBuffer("")
+    started = time.process_time()
+    for _ in range(MAX_EVENT_BYTES):
+        buffer.feed(b"a")
+    assert time.process_time() - started < 1.0
+
+
+@pytest.mark.parametrize("end", [b"\n\n", b"\r\n\r\n", b"\r\r"])
+def test_end_of_an_event_may_be_divided(end):
+    buffer = EventStreamBuffer("")
+    text = b"id: 1" + end + b"id: 2" + end
+    fed = [buffer.feed(text[position : position + 1]) for position in range(len(text))]
+    assert [event for event in fed if event] == [b"id: 1" + end, b"id: 2" + end]
+    assert buffer.at_event_boundary and buffer.last_id == "2"
