Count events, not bytes, as the progress of a stream

A stream whose endpoint sent a byte of an event, a comment or an empty line every so often kept the stall timer fresh and its caller waiting until the deadline. The timer now runs from the last event that carried something new: another id, or data where the stream has no ids.

test_stream_of_bytes_without_events (8 rows) and test_last_attempt_of_a_stream_without_events_ends failed before.

--- a/src/coltsfootshift/gateway/events.py
+++ b/src/coltsfootshift/gateway/events.py
@@ -10,12 +10,15 @@
 
 _EVENT_END = re.compile(rb"\r\n\r\n|\n\n|\r\r")
 _EVENT_END_BYTES = 4
+_DATA_FIELD = re.compile(rb"(?:^|\n|\r)data:")
 _ID_FIELD = re.compile(rb"(?:^|\n|\r)id:[ ]?([^\r\n]*)")
 
 
 class EventStreamBuffer:
     """Holds back incomplete events, so that a resumed stream never contains part of an event.
 
+    `event_count` counts the events that carry something new: another id, or data without an id.
+
     >>> buffer = EventStreamBuffer("")
     >>> buffer.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
@@ -59,7 +62,11 @@
         self._searched_bytes = 0
 
     def _record_event(self, event: bytes) -> None:
-        self.event_count += 1
         match = _ID_FIELD.search(event)
-        if match is not None:
-            self.last_id = match.group(1).decode("latin-1")
+        if match is None:
+            self.event_count += _DATA_FIELD.search(event) is not None
+            return
+        event_id = match.group(1).decode("latin-1")
+        if event_id != self.last_id:
+            self.event_count += 1
+            self.last_id = event_id
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -56,13 +56,17 @@
 
 
 class _Attempt(ResponseReceiver):
-    """One attempt of an exchange at an endpoint; data that arrives after its end is dropped."""
+    """One attempt of an exchange at an endpoint; data that arrives after its end is dropped.
+
+    A stream progresses with its head and with each complete event that carries something new.
+    """
 
     def __init__(self, exchange: Exchange, state: EndpointState) -> None:
         self.state = state
         self.active = True
         self.head: ResponseHead | None = None
         self.last_received_at = 0.0
+        self.progressed_at = 0.0
         self.body_started = False
         self.sent_at = 0.0
         self.predicted_seconds = 0.0
@@ -154,17 +158,23 @@
             outbound.cancel()
 
     def check_stall(self, now: float) -> None:
-        """Resume a resumable stream at another endpoint if it has stalled."""
+        """Resume a stalled stream at another endpoint.
+
+        A stream that can't be resumed may be silent until the deadline. It ends as broken if its
+        endpoint keeps sending bytes that complete no event.
+        """
         attempt = self._attempt
-        if attempt is None or not self._is_streaming or not self.route.resumable:
+        if attempt is None or not self._is_streaming or attempt.head is None:
             return
-        if attempt.head is None or now - attempt.last_received_at < STREAM_STALL_SECONDS:
+        stalled_seconds = now - attempt.progressed_at
+        if stalled_seconds < STREAM_STALL_SECONDS:
             return
-        if self.possible_runs >= self.route.attempts:
+        silent = attempt.last_received_at - attempt.progressed_at < STREAM_STALL_SECONDS
+        if silent and not self._may_retry():
             return
         self._cancel_attempt()
         attempt.state.record_unreachable(self.request, now)
-        self._retry(attempt, f"no event for {now - attempt.last_received_at:.1f} s")
+        self._retry(attempt, f"no event for {stalled_seconds:.1f} s")
 
     def withdraw_outdated(self, min_version: int, now: float) -> None:
         """Cancel an attempt without response data if its endpoint's version is too old by now."""
@@ -180,7 +190,7 @@
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
         now = self._owner.reactor.seconds()
-        attempt.last_received_at = now
+        attempt.last_received_at = attempt.progressed_at = now
         attempt.state.record_response_start(self.request, head.load, now)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
@@ -205,7 +215,10 @@
         head = attempt.head
         assert head is not None
         if self._is_streaming and head.succeeded:
+            event_count = self._event_buffer.event_count
             events = self._event_buffer.feed(data)
+            if self._event_buffer.event_count > event_count:
+                attempt.progressed_at = attempt.last_received_at
             if events:
                 self.incoming.write(events)
             if self._event_buffer.overlong:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -15,7 +15,7 @@
 from twisted.internet.error import ConnectionDone
 
 from coltsfootshift.gateway.events import MAX_EVENT_BYTES, EventStreamBuffer
-from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES
+from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES, STREAM_STALL_SECONDS
 from coltsfootshift.gateway.links import MAX_HEAD_BYTES, MAX_HEAD_SECONDS
 
 PIECE_BYTES = 4096
@@ -217,3 +217,43 @@
     fed = [buffer.feed(text[position : position + 1]) for position in range(len(text))]
     assert [event for event in fed if event] == [b"id: 1" + end, b"id: 2" + end]
     assert buffer.at_event_boundary and buffer.last_id == "2"
+
+
+@pytest.mark.parametrize("route", ["talk", "once"])
+@pytest.mark.parametrize(
+    "piece", [b"a", b": a\n\n", b"\n\n", b"\r\n"], ids=["event", "comments", "ends", "lines"]
+)
+def test_stream_of_bytes_without_events(route, piece):
+    """Bytes that complete no event must not hold off the stall timer."""
+    harness = GatewayHarness()
+    caller, endpoint = open_stream(harness, route)
+    postpone_deadline(harness)
+    seconds = dribble(harness, endpoint, make_chunk(piece), 10.0)
+    assert seconds <= STREAM_STALL_SECONDS + SLACK_SECONDS
+    second = harness.accept()
+    assert (second is not None) is (route == "talk")
+    assert second is not None or caller.aborted
+
+
+def test_last_attempt_of_a_stream_without_events_ends():
+    """Without another endpoint to turn to, the caller must not wait for its deadline."""
+    harness = GatewayHarness()
+    caller, first = open_stream(harness)
+    postpone_deadline(harness)
+    first.protocol.dataReceived(make_chunk(make_event(1)))
+    dribble(harness, first, make_chunk(b"a"), 10.0)
+    second = harness.accept()
+    second.protocol.dataReceived(CHUNKED)
+    dribble(harness, second, make_chunk(b"a"), 10.0)
+    assert second.aborted and caller.aborted
+
+
+def test_stream_of_slow_events_goes_on():
+    harness = GatewayHarness()
+    caller, endpoint = open_stream(harness, "once")
+    postpone_deadline(harness)
+    for number in range(4):
+        endpoint.protocol.dataReceived(make_chunk(make_event(number)))
+        harness.clock.advance(0.9 * STREAM_STALL_SECONDS)
+    endpoint.protocol.dataReceived(make_chunk(b""))
+    assert read_chunks(caller) == b"".join(make_event(number) for number in range(4))
