Never continue a begun answer with that of another endpoint

The answer of a plain service that is longer than 1 MiB is passed on as it arrives. Only a stream can be continued; any other begun answer ends as broken now.

test_answer_that_has_begun_is_not_continued_with_another failed before in both rows of the idempotent route (a second attempt was made); the rows of the other route passed.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -298,6 +298,9 @@
         self._retry(attempt, reason)
 
     def _may_retry(self) -> bool:
+        """Return whether the request may run again; only a stream can continue a begun response."""
+        if self.response_started and not self._is_streaming:
+            return False
         return self.route.retryable and self.possible_runs < self.route.attempts
 
     def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -12,7 +12,7 @@
 import pytest
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
 from test_gateway_answers import open_stream, read_body, read_chunks, read_status
-from twisted.internet.error import ConnectionDone
+from twisted.internet.error import ConnectionDone, ConnectionLost
 
 from coltsfootshift.gateway.events import MAX_EVENT_BYTES, EventStreamBuffer
 from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES, STREAM_STALL_SECONDS
@@ -257,3 +257,20 @@
         harness.clock.advance(0.9 * STREAM_STALL_SECONDS)
     endpoint.protocol.dataReceived(make_chunk(b""))
     assert read_chunks(caller) == b"".join(make_event(number) for number in range(4))
+
+
+@pytest.mark.parametrize("route", ["read", "book"])
+@pytest.mark.parametrize("end", [repeat(b"0"), None], ids=["chunk size", "connection lost"])
+def test_answer_that_has_begun_is_not_continued_with_another(route, end):
+    """The bytes of a second answer must not follow those of a first one that broke off."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(CHUNKED)
+    feed(endpoint, make_chunk(repeat(b"a")), MAX_BUFFERED_BYTES + PIECE_BYTES)
+    assert read_status(caller) == 200
+    if end is None:
+        endpoint.disconnect(ConnectionLost())
+    else:
+        feed(endpoint, end, 2 * MAX_HEAD_BYTES)
+    assert harness.accept() is None and caller.aborted
