Refuse an answer that may not be passed on by its head, and bound what is held of others

A success without seal or with an encoding, and a 503, 429, 408 or 421 of an endpoint that may have run the request, were judged only at the end of their body: a body without end held the caller until the deadline, and without a seal it was held in memory without limit. One that is sealed and longer than 1 MiB was passed on before it was judged, so that the caller got an encoded success (MIXED) or a 503 for a request that may have run (REFUSED); the same 503 reached the caller of an idempotent request that found no place for a retry. These are refused by their head now, as those of streams were already. A failure without a seal fails the attempt once it exceeds the limit.

What is held is one bytearray: of a body in chunks of two bytes, each chunk was an object, and 1 MiB took more than 6 MB.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -116,8 +116,7 @@
         self._outbound: Any = None
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
@@ -195,12 +194,13 @@
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
             return
-        if not head.succeeded or not self._is_streaming:
-            return
-        if not head.sealed or head.encoded:
+        if head.succeeded and (not head.sealed or head.encoded):
             self._fail_attempt(attempt, "a success that is not the endpoint's own answer", now)
             return
-        if not self.response_started:
+        if head.status in NOT_RUN_STATUSES:
+            self._fail_attempt(attempt, f"status {head.status} that may have run", now)
+            return
+        if head.succeeded and self._is_streaming and not self.response_started:
             self.version = head.version
             self.incoming.send_head(head.status, head.forwarded_headers)
 
@@ -224,10 +224,14 @@
             if self._event_buffer.overlong:
                 self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and head.sealed:
+        self._buffered += data
+        if len(self._buffered) <= MAX_BUFFERED_BYTES:
+            return
+        if head.sealed:
             self._flush_buffered(head)
+        else:
+            reason = f"status {head.status} with too long a body"
+            self._fail_attempt(attempt, reason, attempt.last_received_at)
 
     def handle_end(self, attempt: _Attempt) -> None:
         """Handle the end of a complete response."""
@@ -248,12 +252,6 @@
             attempt.state.record_failure(self.request, now)
             self._retry(attempt, f"status {head.status}", keep_response=True)
             return
-        if head.succeeded and (not head.sealed or head.encoded):
-            self._fail_attempt(attempt, "a success that is not the endpoint's own answer", now)
-            return
-        if head.status in NOT_RUN_STATUSES:
-            self._fail_attempt(attempt, f"status {head.status} that may have run", now)
-            return
         if head.succeeded:
             attempt.state.record_success(self.request, now)
         else:
@@ -310,7 +308,7 @@
         """
         attempt.active = False
         self._attempt = None
-        buffered, self._buffered, self._buffered_bytes = self._buffered, [], 0
+        buffered, self._buffered = self._buffered, bytearray()
         self._event_buffer.discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
@@ -346,15 +344,13 @@
             self._flush_buffered(head)
             self.incoming.finish()
             return
-        self.incoming.respond(head.status, head.forwarded_headers, b"".join(self._buffered))
+        self.incoming.respond(head.status, head.forwarded_headers, bytes(self._buffered))
 
     def _flush_buffered(self, head: ResponseHead) -> None:
         if not self.response_started:
             self.incoming.send_head(head.status, head.forwarded_headers)
-        for data in self._buffered:
-            self.incoming.write(data)
-        self._buffered = []
-        self._buffered_bytes = 0
+        self.incoming.write(bytes(self._buffered))
+        self._buffered.clear()
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import time
+import tracemalloc
 
 import pytest
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
@@ -274,3 +275,44 @@
     else:
         feed(endpoint, end, 2 * MAX_HEAD_BYTES)
     assert harness.accept() is None and caller.aborted
+
+
+NOT_THE_ENDPOINTS = [
+    (dict(sealed=False), 0),
+    (dict(headers=("Content-Encoding: gzip",)), 0),
+    (dict(status=503), 0),
+    (dict(status=429), 0),
+    (dict(status=500, sealed=False), MAX_BUFFERED_BYTES),
+    (dict(status=404, sealed=False), MAX_BUFFERED_BYTES),
+]
+
+
+@pytest.mark.parametrize("route", ["read", "book"])
+@pytest.mark.parametrize(
+    ("fields", "limit"),
+    NOT_THE_ENDPOINTS,
+    ids=["no seal", "encoded", "unmarked 503", "unmarked 429", "unsealed 500", "unsealed 404"],
+)
+def test_body_without_end_that_may_not_be_passed_on(route, fields, limit):
+    """It is refused by its head, or else held only up to the limit, and none of it is passed on."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(make_response(chunked=True, **fields))
+    taken = feed(endpoint, make_chunk(repeat(b"a")), 2 * MAX_BUFFERED_BYTES)
+    assert taken <= limit + 2 * PIECE_BYTES
+    check_outcome(harness, route, caller)
+
+
+def test_body_of_tiny_chunks_is_held_in_little_memory():
+    """Each chunk must not be held as an object of its own."""
+    harness = GatewayHarness(endpoints=1)
+    harness.send_request("book")
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(CHUNKED)
+    tracemalloc.start()
+    try:
+        feed(endpoint, make_chunk(b"ab") * 4096, MAX_BUFFERED_BYTES)
+        assert tracemalloc.get_traced_memory()[0] < 2 * MAX_BUFFERED_BYTES
+    finally:
+        tracemalloc.stop()
