Bound what is read after an endpoint has stated that a request has not run

The rest of such an answer was read to keep its connection, with nobody waiting for it any more: no deadline, no limit. An endpoint that sent a body without end there held a connection and this process's time for good. At most 64 KiB and 1 s are spent on it now; a short body still leaves the connection for the next request.

test_body_without_end_of_an_answer_that_was_not_run failed before in all 16 rows.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -378,7 +378,9 @@
             attempt.state.record_cancelled(self.request)
         self._attempt = None
         self._outbound = None
-        if outbound is not None and not keep_connection:
+        if outbound is not None and keep_connection:
+            outbound.drain()
+        elif outbound is not None:
             outbound.cancel()
 
     def _close(self, outcome: str) -> None:
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -23,6 +23,9 @@
 KEEP_ALIVE_MARGIN_SECONDS = 1.0  # endpoints announce their timeout in whole seconds
 MAX_HEAD_BYTES = 64 * 1024
 MAX_HEAD_SECONDS = 1.5  # a head is sent at once; the time includes that for lost packets
+# The rest of a response that is of no use is read within these limits to keep its connection.
+MAX_DRAIN_BYTES = 64 * 1024
+MAX_DRAIN_SECONDS = 1.0
 RESPONSE_START = b"HTTP/"
 MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
 
@@ -50,6 +53,31 @@
         """
 
 
+class _Drain(ResponseReceiver):
+    """Discards the rest of a response, and cancels its connection if that takes too long."""
+
+    def __init__(self, connection: EndpointConnection, reactor: Any) -> None:
+        self._connection = connection
+        self._left_bytes = MAX_DRAIN_BYTES
+        self._timer = reactor.callLater(MAX_DRAIN_SECONDS, connection.cancel)
+
+    def head_received(self, head: ResponseHead) -> None:
+        """Do nothing: the head has been received before."""
+
+    def body_received(self, data: bytes) -> None:
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            self.response_completed()
+            self._connection.cancel()
+
+    def response_completed(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+    def attempt_failed(self, reason: str, sent: bool) -> None:
+        self.response_completed()
+
+
 class EndpointConnection(Protocol):
     """A connection to an endpoint, which carries one request at a time.
 
@@ -115,6 +143,11 @@
         self._receiver = None
         self._abort()
 
+    def drain(self) -> None:
+        """Discard the rest of the response in progress; a short one leaves the connection open."""
+        if self._receiver is not None:
+            self._receiver = _Drain(self, self._pool.reactor)
+
     def dataReceived(self, data: bytes) -> None:
         """Read the response; bytes that arrive without a request abort the connection."""
         if self._receiver is None:
@@ -288,6 +321,11 @@
         elif self.connector is not None:
             self.connector.stopConnecting()
 
+    def drain(self) -> None:
+        """Discard the rest of the response, whose head has arrived."""
+        if not self.cancelled and self.connection is not None:
+            self.connection.drain()
+
 
 class _DialledConnection(EndpointConnection):
     """A connection that was dialled for one request."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -17,7 +17,12 @@
 
 from coltsfootshift.gateway.events import MAX_EVENT_BYTES, EventStreamBuffer
 from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES, STREAM_STALL_SECONDS
-from coltsfootshift.gateway.links import MAX_HEAD_BYTES, MAX_HEAD_SECONDS
+from coltsfootshift.gateway.links import (
+    MAX_DRAIN_BYTES,
+    MAX_DRAIN_SECONDS,
+    MAX_HEAD_BYTES,
+    MAX_HEAD_SECONDS,
+)
 
 PIECE_BYTES = 4096
 TICK_SECONDS = 0.1
@@ -316,3 +321,38 @@
         assert tracemalloc.get_traced_memory()[0] < 2 * MAX_BUFFERED_BYTES
     finally:
         tracemalloc.stop()
+
+
+@pytest.mark.parametrize("pause", [0.0, TICK_SECONDS], ids=["fast", "dribble"])
+@pytest.mark.parametrize("status", [503, 421])
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+def test_body_without_end_of_an_answer_that_was_not_run(route, status, pause):
+    """The rest of such an answer is read only to keep the connection."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    marks = ("X-Not-Executed: 1",)
+    endpoint.protocol.dataReceived(
+        make_response(status=status, headers=marks, sealed=False, chunked=True)
+    )
+    second = harness.accept()
+    second.protocol.dataReceived(STREAM_OK if route in ("talk", "once") else OK)
+    assert read_status(caller) == 200
+    if pause:
+        seconds = dribble(harness, endpoint, make_chunk(b"a"), 10.0)
+        assert seconds <= MAX_DRAIN_SECONDS + SLACK_SECONDS
+    else:
+        taken = feed(endpoint, make_chunk(repeat(b"a")), 4 * MAX_DRAIN_BYTES)
+        assert taken <= MAX_DRAIN_BYTES + 2 * PIECE_BYTES
+    assert endpoint.aborted
+
+
+def test_answer_that_was_not_run_keeps_its_connection():
+    harness = GatewayHarness()
+    harness.send_request("once")
+    endpoint = harness.accept()
+    head = make_response(status=503, headers=("X-Not-Executed: 1",), sealed=False, length=4)
+    endpoint.protocol.dataReceived(head)
+    endpoint.protocol.dataReceived(b"full")
+    harness.clock.advance(MAX_DRAIN_SECONDS + SLACK_SECONDS)
+    assert endpoint.protocol.usable and not endpoint.aborted
