Read the answers of control clients within limits of size and time

The clients of the store, the engine on the instance, the origin, the platform's tables, the weight store and an endpoint's status read a body with treq.content, which limits neither its size nor its time. Where a time limit was added to it, its end gave up waiting but left the connection open: treq collects on, so that a body without end filled the memory for as long as its sender went on. The product's own clients waited for the end of such a body for good. treq also kept a second copy.

read_body collects a body up to a limit and closes the connection beyond it or after the time; the clients name their limits.

--- a/src/coltsfootshift/catalogueservice/http.py
+++ b/src/coltsfootshift/catalogueservice/http.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import HTTPConnectionPool
 
+from coltsfootshift.answers import read_body
 from coltsfootshift.catalogueservice.base import Platform, PlatformError
 from coltsfootshift.messages import Difference, VersionedRecord
 
@@ -17,6 +18,7 @@
 WATCH_SECONDS = 1
 MIN_TIMEOUT_SECONDS = 2.5
 MAX_TIMEOUT_SECONDS = 20.0
+MAX_TABLE_BYTES = 16 * 1024 * 1024  # 5,000 instances at less than 3 KB each
 
 
 class HttpPlatform(Platform):
@@ -44,9 +46,13 @@
         started = self._reactor.seconds()
         try:
             response = await treq.get(
-                url, pool=self._pool, timeout=self._timeout, reactor=self._reactor
+                url,
+                pool=self._pool,
+                timeout=self._timeout,
+                reactor=self._reactor,
+                unbuffered=True,
             )
-            text = await treq.content(response)
+            text = await read_body(response, MAX_TABLE_BYTES, self._timeout, self._reactor)
         except Exception as error:
             self._record_failure(self._reactor.seconds() - started)
             raise PlatformError(f"{url}: {error}") from error
--- a/src/coltsfootshift/engines/http.py
+++ b/src/coltsfootshift/engines/http.py
@@ -9,6 +9,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import HTTPConnectionPool
 
+from coltsfootshift.answers import read_body
 from coltsfootshift.engines.base import (
     EndpointError,
     EndpointRequest,
@@ -26,6 +27,8 @@
 STATUS_NOT_FOUND = 404
 DEFAULT_STATUS = EndpointStatus(0, 0, 0, Digest(""), serving=True, fencing=0, age=0.0)
 CONTROL_TIMEOUT_SECONDS = 5.0
+MAX_CONTROL_BYTES = 1024 * 1024  # of a status or a list of staged chunks
+MAX_CHUNK_BYTES = 16 * 1024 * 1024
 MAX_IDLE_CONNECTIONS = 64
 STATUS_REFUSED = 503
 STATUS_DIFFERENT_WEIGHTS = 409
@@ -40,9 +43,10 @@
     def __init__(self, reactor: Any, url: str) -> None:
         self._reactor = reactor
         self._url = url
-        self._pool = HTTPConnectionPool(reactor, persistent=True)
-        self._pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
-        self._pool.retryAutomatically = False
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        pool.maxPersistentPerHost = MAX_IDLE_CONNECTIONS
+        pool.retryAutomatically = False
+        self._pool = pool
 
     def __repr__(self) -> str:
         return f"HttpEndpoint(url={self._url!r})"
@@ -70,7 +74,9 @@
 
     def read_staged(self, digest: Digest, index: int) -> Deferred[bytes]:
         """Return a staged chunk."""
-        return Deferred.fromCoroutine(self._call("GET", f"{self._url}/staging/{digest}/{index}"))
+        return Deferred.fromCoroutine(
+            self._call("GET", f"{self._url}/staging/{digest}/{index}", max_bytes=MAX_CHUNK_BYTES)
+        )
 
     def list_staged(self, digest: Digest) -> Deferred[frozenset[int]]:
         """Return the indexes of the staged chunks of a digest."""
@@ -142,7 +148,13 @@
         except (ValueError, KeyError, TypeError) as error:
             raise EndpointError(f"{self._url}: malformed status: {error}", False) from error
 
-    async def _call(self, method: str, url: str, body: bytes | None = None) -> bytes:
+    async def _call(
+        self,
+        method: str,
+        url: str,
+        body: bytes | None = None,
+        max_bytes: int = MAX_CONTROL_BYTES,
+    ) -> bytes:
         try:
             response = await treq.request(
                 method,
@@ -151,8 +163,9 @@
                 pool=self._pool,
                 timeout=CONTROL_TIMEOUT_SECONDS,
                 reactor=self._reactor,
+                unbuffered=True,
             )
-            content = await treq.content(response)
+            content = await read_body(response, max_bytes, CONTROL_TIMEOUT_SECONDS, self._reactor)
         except Exception as error:
             raise EndpointError(f"{url}: {error}", started=True) from error
         if response.code >= 400:
--- a/src/coltsfootshift/weightstore/http.py
+++ b/src/coltsfootshift/weightstore/http.py
@@ -8,6 +8,7 @@
 from twisted.internet.defer import Deferred
 from twisted.web.client import HTTPConnectionPool
 
+from coltsfootshift.answers import read_body
 from coltsfootshift.ids import Digest
 from coltsfootshift.weightstore.base import WeightStore, WeightStoreError
 from coltsfootshift.weightstore.manifest import Manifest, ManifestError
@@ -15,6 +16,7 @@
 __all__ = ["HttpWeightStore"]
 
 REQUEST_TIMEOUT_SECONDS = 30.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024  # of a chunk or a manifest
 
 
 class HttpWeightStore(WeightStore):
@@ -46,9 +48,15 @@
     async def _get(self, url: str) -> bytes:
         try:
             response = await treq.get(
-                url, pool=self._pool, timeout=REQUEST_TIMEOUT_SECONDS, reactor=self._reactor
+                url,
+                pool=self._pool,
+                timeout=REQUEST_TIMEOUT_SECONDS,
+                reactor=self._reactor,
+                unbuffered=True,
+            )
+            content = await read_body(
+                response, MAX_ANSWER_BYTES, REQUEST_TIMEOUT_SECONDS, self._reactor
             )
-            content = await treq.content(response)
         except Exception as error:
             raise WeightStoreError(f"{url}: {error}") from error
         if response.code != 200:
--- /dev/null
+++ b/tests/endless_clients.py
@@ -0,0 +1,84 @@
+"""Lets each HTTP client make one call to a port, and prints its name and outcome.
+
+    python endless_clients.py PORT SECONDS
+
+The process ends a second after the last outcome, so that it can be seen which connections are left
+open, or after `SECONDS`.
+"""
+
+from __future__ import annotations
+
+import sys
+from random import Random
+
+from coltsfootshift_platform.engines import HttpEngine, HttpOrigin
+from coltsfootshift_platform.store import StoreWatcher
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred
+
+from coltsfootshift.catalogueservice.http import HttpPlatform
+from coltsfootshift.engines.http import HttpEndpoint
+from coltsfootshift.gateway.table_cache import Table
+from coltsfootshift.ids import Digest
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.settings import Address
+from coltsfootshift.weightstore import http as weight_http
+
+LINGER_SECONDS = 1.0
+WEIGHTS_SECONDS = 3.0  # less than the client's own limit, so that the test ends soon
+
+
+class _NoTables:
+    """Reads the operator table only, and knows nothing of it yet."""
+
+    def choose_start_revision(self, table):
+        return 0 if table is Table.OPERATOR else None
+
+    def handle_answer(self, answer):
+        raise AssertionError("an answer without end was taken for one")
+
+
+def read_store(address: Address) -> Deferred:
+    watcher = StoreWatcher(reactor, address, _NoTables(), Metrics(), Random(1))
+    pool = watcher._make_pool()
+    return Deferred.fromCoroutine(watcher._read_snapshot(Table.OPERATOR, pool, 0))
+
+
+def list_calls(address: Address) -> dict:
+    """Return a function for each client that makes its call."""
+    url = f"http://{address.host}:{address.port}"
+    engine = HttpEngine(reactor, address)
+    digest = Digest("d")
+    return {
+        "store": lambda: read_store(address),
+        "report": engine.read_report,
+        "staged": lambda: engine.read_staged("m", 0),
+        "stage": lambda: engine.stage("m", 0, b"data"),
+        "origin": lambda: HttpOrigin(reactor, address).read_chunk("m", 1, 0),
+        "digests": lambda: HttpOrigin(reactor, address).read_digests("m", 1),
+        "chunk": lambda: weight_http.HttpWeightStore(reactor, url).read_chunk(digest, 0),
+        "table": lambda: HttpPlatform(reactor, url).watch("catalogue", 0),
+        "status": HttpEndpoint(reactor, url).read_status,
+    }
+
+
+def main(port: int, seconds: float) -> None:
+    weight_http.REQUEST_TIMEOUT_SECONDS = WEIGHTS_SECONDS
+    calls = list_calls(Address("127.0.0.1", port))
+    running = set(calls)
+
+    stopping = reactor.callLater(seconds, reactor.stop)
+
+    def end(result, name, outcome):
+        print(name, outcome)
+        running.discard(name)
+        if not running:
+            stopping.reset(LINGER_SECONDS)
+
+    for name, call in calls.items():
+        call().addCallbacks(end, end, callbackArgs=(name, "done"), errbackArgs=(name, "failed"))
+    reactor.run()
+
+
+if __name__ == "__main__":
+    main(int(sys.argv[1]), float(sys.argv[2]))
--- /dev/null
+++ b/tests/test_endless_control_answers.py
@@ -0,0 +1,156 @@
+"""Bytes without end from the store, an engine, the origin or the platform, over real sockets.
+
+A client must close the connection within a limit of bytes, and within its time limit for bytes that
+come slowly, and must report a failure.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+from coltsfootshift_platform.engines import MAX_CHUNK_BYTES
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
+from twisted.web.client import ResponseDone
+
+from coltsfootshift.answers import AnswerTooLongError, read_body
+
+HERE = Path(__file__).parent
+FAST_BYTES = 64 * 1024
+# The server stops here, so that a client without a limit fails the test and not the machine.
+SERVER_MOST_BYTES = 64 * 1024 * 1024
+# What the kernel may hold of a connection's bytes: its buffer grows while the client reads.
+GROWN_BUFFER_BYTES = 8 * 1024 * 1024
+SEND_BUFFER_BYTES = 64 * 1024
+MOST_SECONDS = 15.0  # above the time limits of all clients
+PROCESS_MOST_SECONDS = 60.0
+LINGER_SECONDS = 1.0  # the clients' process goes on for so long after the last outcome
+CLIENT_COUNT = 9
+
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+
+def repeat(text: bytes) -> bytes:
+    return text * (FAST_BYTES // len(text))
+
+
+BODIES = {
+    "chunks": (CHUNKED, b"%x\r\n%s\r\n" % (FAST_BYTES, repeat(b"a"))),
+    "until closed": (b"HTTP/1.1 200 OK\r\n\r\n", repeat(b"a")),
+    "length": (b"HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", repeat(b"a")),
+    "failure": (CHUNKED.replace(b"200", b"500"), b"%x\r\n%s\r\n" % (FAST_BYTES, repeat(b"a"))),
+    "chunk size": (CHUNKED, repeat(b"0")),
+    "trailers": (CHUNKED + b"0\r\n", repeat(b"A: a\r\n")),
+    "after an answer": (b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}", repeat(b"a")),
+}
+
+
+class EndlessServer:
+    """Sends `start`, then `piece` every `pause` seconds, to each connection until it is closed.
+
+    `taken` tells how many bytes each connection took, and `closed_at` when it was closed, or None.
+    """
+
+    def __init__(self, start: bytes, piece: bytes, pause: float) -> None:
+        self._start, self._piece, self._pause = start, piece, pause
+        self.taken: list[int] = []
+        self.closed_at: list[float | None] = []
+
+    async def serve(self, reader, writer) -> None:
+        number = len(self.taken)
+        self.taken.append(0)
+        self.closed_at.append(None)
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self._start)
+            while self.taken[number] < SERVER_MOST_BYTES:
+                writer.write(self._piece)
+                await writer.drain()
+                self.taken[number] += len(self._piece)
+                await asyncio.sleep(self._pause)
+        except OSError:
+            self.closed_at[number] = time.monotonic()
+        finally:
+            writer.close()
+
+
+async def play(start: bytes, piece: bytes, pause: float):
+    """Let each client make one call; return the server, the outcomes and when the clients ended."""
+    server = EndlessServer(start, piece, pause)
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0, limit=FAST_BYTES)
+    listener.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+    port = listener.sockets[0].getsockname()[1]
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, str(HERE / "endless_clients.py"), str(port), str(MOST_SECONDS)),
+        stdout=subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": str(HERE.parent / "platform")},
+    )
+    try:
+        out, _ = await asyncio.wait_for(process.communicate(), PROCESS_MOST_SECONDS)
+    except TimeoutError:
+        process.kill()
+        raise
+    ended_at = time.monotonic()
+    listener.close()
+    return server, dict(line.split() for line in out.decode().splitlines()), ended_at
+
+
+def check_closed(server, ended_at):
+    """Check that the clients closed all connections themselves, not the end of their process."""
+    assert len(server.closed_at) == CLIENT_COUNT
+    for closed_at in server.closed_at:
+        assert closed_at is not None and closed_at < ended_at - LINGER_SECONDS / 2
+
+
+@pytest.mark.parametrize("kind", BODIES)
+def test_control_answer_without_end(kind):
+    start, piece = BODIES[kind]
+    server, outcomes, ended_at = asyncio.run(play(start, piece, 0.0))
+    assert len(outcomes) == CLIENT_COUNT
+    limit = MAX_CHUNK_BYTES + GROWN_BUFFER_BYTES
+    assert max(server.taken) <= limit
+    check_closed(server, ended_at)
+    if kind != "after an answer":
+        assert set(outcomes.values()) == {"failed"}
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [(b"HTTP/1.1 200 OK\r\nA: ", b"a"), (CHUNKED, b"1\r\na\r\n")],
+    ids=["head", "body"],
+)
+def test_control_answer_that_dribbles(start, piece):
+    server, outcomes, ended_at = asyncio.run(play(start, piece, 0.1))
+    assert len(outcomes) == CLIENT_COUNT
+    assert set(outcomes.values()) == {"failed"}
+    check_closed(server, ended_at)
+
+
+class _Response:
+    """A response whose body is delivered by the test."""
+
+    def deliverBody(self, body):
+        self.body = body
+        body.makeConnection(StringTransport())
+
+
+@pytest.mark.parametrize("surplus", [0, 1])
+def test_body_of_the_largest_size_is_read(surplus):
+    response = _Response()
+    results = []
+    read_body(response, FAST_BYTES, 1.0, Clock()).addBoth(results.append)
+    response.body.dataReceived(b"a" * (FAST_BYTES + surplus))
+    assert response.body.transport.disconnecting is bool(surplus)
+    response.body.connectionLost(Failure(ResponseDone()))
+    if surplus:
+        assert results[0].check(AnswerTooLongError)
+    else:
+        assert results == [b"a" * FAST_BYTES]
