Read an endpoint no faster than its caller reads

The answer of an endpoint that is passed on as it arrives was read as fast as it came, whatever the caller took of it: the rest waited in this process without limit, for an answer without end until the deadline. The transport to the caller now reports when more than its buffer waits, and the connection to the endpoint is paused until that has been sent. A paused stream is not taken for a stalled one. The pause ends with the answer, so that the connection can be used again.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -33,7 +33,9 @@
     """A complete request of a caller, with the methods to respond to it.
 
     `on_disconnect` is called once if the caller's connection is lost before the response is
-    finished. `arrived_at` is in seconds of the reactor's clock.
+    finished. `on_blocked` is called when more of the response waits to be sent than the transport
+    holds, and `on_unblocked` when all of it has been sent. `arrived_at` is in seconds of the
+    reactor's clock.
     """
 
     def __init__(
@@ -45,6 +47,8 @@
         self.body = body
         self.arrived_at = arrived_at
         self.on_disconnect: Callable[[], None] | None = None
+        self.on_blocked: Callable[[], None] | None = None
+        self.on_unblocked: Callable[[], None] | None = None
         self.head_sent = False
         self.finished = False
         self._connection = connection
@@ -69,6 +73,13 @@
         self.head_sent = True
         self._connection.send_head(status, headers)
 
+    def start_stream(self, status: int, headers: Headers) -> None:
+        """Send the head of a response whose body is written as it arrives."""
+        if self.disconnected or self.head_sent:
+            return
+        self._connection.watch_transport()
+        self.send_head(status, headers)
+
     def write(self, data: bytes) -> None:
         """Send bytes of the response body."""
         if not self.disconnected and not self.finished:
@@ -124,6 +135,7 @@
         self._request: IncomingRequest | None = None
         self._timeout: Any = None
         self._rejected = False
+        self._watching = False
 
     def connectionMade(self) -> None:
         """Wait for the first request."""
@@ -160,8 +172,29 @@
         """Send bytes of the response body."""
         self._send(h11.Data(data=data))
 
+    def watch_transport(self) -> None:
+        """Register for the transport's pauses during the response in progress."""
+        self._watching = True
+        self.transport.registerProducer(self, True)
+
+    def pauseProducing(self) -> None:
+        """Notify the request in progress that its response waits to be sent."""
+        if self._request is not None and self._request.on_blocked is not None:
+            self._request.on_blocked()
+
+    def resumeProducing(self) -> None:
+        """Notify the request in progress that its response has been sent so far."""
+        if self._request is not None and self._request.on_unblocked is not None:
+            self._request.on_unblocked()
+
+    def stopProducing(self) -> None:
+        """Do nothing: the loss of the connection follows."""
+
     def end_response(self) -> None:
         """End the response, then read the next request or close the connection."""
+        if self._watching:
+            self._watching = False
+            self.transport.unregisterProducer()
         self._send(h11.EndOfMessage())
         self._request = None
         if not self.open:
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -117,12 +117,15 @@
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
         self._buffered = bytearray()
+        self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
             max(0.0, admission.expires_at - reactor.seconds()), self._on_deadline
         )
         incoming.on_disconnect = self._on_caller_disconnect
+        incoming.on_blocked = self._on_caller_blocked
+        incoming.on_unblocked = self._on_caller_unblocked
 
     def __repr__(self) -> str:
         return f"Exchange({self.request!r}, route={self.route.name!r}, runs={self.possible_runs})"
@@ -163,7 +166,7 @@
         endpoint keeps sending bytes that complete no event.
         """
         attempt = self._attempt
-        if attempt is None or not self._is_streaming or attempt.head is None:
+        if attempt is None or not self._is_streaming or attempt.head is None or self._blocked:
             return
         stalled_seconds = now - attempt.progressed_at
         if stalled_seconds < STREAM_STALL_SECONDS:
@@ -202,7 +205,7 @@
             return
         if head.succeeded and self._is_streaming and not self.response_started:
             self.version = head.version
-            self.incoming.send_head(head.status, head.forwarded_headers)
+            self.incoming.start_stream(head.status, head.forwarded_headers)
 
     def handle_data(self, attempt: _Attempt, data: bytes) -> None:
         """Handle bytes of a response body."""
@@ -348,7 +351,7 @@
 
     def _flush_buffered(self, head: ResponseHead) -> None:
         if not self.response_started:
-            self.incoming.send_head(head.status, head.forwarded_headers)
+            self.incoming.start_stream(head.status, head.forwarded_headers)
         self.incoming.write(bytes(self._buffered))
         self._buffered.clear()
 
@@ -371,6 +374,20 @@
             self._cancel_attempt()
             self._close("caller gone")
 
+    def _on_caller_blocked(self) -> None:
+        """Let the rest of the response wait at the endpoint while the caller is slow."""
+        self._blocked = True
+        if self._outbound is not None:
+            self._outbound.pause()
+
+    def _on_caller_unblocked(self) -> None:
+        self._blocked = False
+        if self._attempt is not None:
+            now = self._owner.reactor.seconds()
+            self._attempt.last_received_at = self._attempt.progressed_at = now
+        if self._outbound is not None:
+            self._outbound.resume()
+
     def _cancel_attempt(self, keep_connection: bool = False) -> None:
         attempt, outbound = self._attempt, self._outbound
         if attempt is not None:
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -98,6 +98,7 @@
         self._head_timer: Any = None
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
+        self._paused = False
 
     def connectionMade(self) -> None:
         """Detect a dead peer by keep-alive probes and unacknowledged bytes."""
@@ -143,6 +144,18 @@
         self._receiver = None
         self._abort()
 
+    def pause(self) -> None:
+        """Read no further bytes of the response in progress until it is resumed."""
+        if self._receiver is not None and not self._lost:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        if self._paused and not self._lost:
+            self._paused = False
+            self.transport.resumeProducing()
+
     def drain(self) -> None:
         """Discard the rest of the response in progress; a short one leaves the connection open."""
         if self._receiver is not None:
@@ -240,6 +253,7 @@
         http = self._http
         clean = not http.trailing_data[0] and http.our_state is h11.DONE
         if clean and http.their_state is h11.DONE and not self._lost:
+            self.resume()
             http.start_next_cycle()
             self.idle_until = self._pool.reactor.seconds() + min(MAX_IDLE_SECONDS, self._keep_alive)
             self._pool.add_idle(self)
@@ -321,6 +335,16 @@
         elif self.connector is not None:
             self.connector.stopConnecting()
 
+    def pause(self) -> None:
+        """Let the rest of the response wait at the endpoint."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        if self.connection is not None:
+            self.connection.resume()
+
     def drain(self) -> None:
         """Discard the rest of the response, whose head has arrived."""
         if not self.cancelled and self.connection is not None:
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -356,3 +356,36 @@
     endpoint.protocol.dataReceived(b"full")
     harness.clock.advance(MAX_DRAIN_SECONDS + SLACK_SECONDS)
     assert endpoint.protocol.usable and not endpoint.aborted
+
+
+@pytest.mark.parametrize("route", ["book", "once"])
+def test_endpoint_is_not_read_ahead_of_a_slow_caller(route):
+    """The rest of a long answer must wait at its endpoint, not in this process."""
+    harness = GatewayHarness()
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    postpone_deadline(harness)
+    endpoint.protocol.dataReceived(CHUNKED)
+    piece = make_event(1) if route == "once" else repeat(b"a")
+    for _ in range(2 * MAX_BUFFERED_BYTES // PIECE_BYTES):
+        endpoint.protocol.dataReceived(make_chunk(piece))
+    caller.producer.pauseProducing()
+    assert endpoint.producerState == "paused"
+    harness.clock.advance(2 * STREAM_STALL_SECONDS)
+    assert not endpoint.aborted
+    caller.producer.resumeProducing()
+    assert endpoint.producerState == "producing"
+    harness.clock.advance(TICK_SECONDS)
+    assert not endpoint.aborted
+    endpoint.protocol.dataReceived(make_chunk(b""))
+    assert caller.value().endswith(b"\r\n0\r\n\r\n") and caller.producer is None
+
+
+def test_pause_for_a_slow_caller_ends_with_the_answer():
+    """The connection must be read again for the next answer."""
+    harness = GatewayHarness()
+    caller, endpoint = open_stream(harness, "once")
+    endpoint.protocol.dataReceived(make_chunk(make_event(1)))
+    caller.producer.pauseProducing()
+    endpoint.protocol.dataReceived(make_chunk(b""))
+    assert endpoint.producerState == "producing" and endpoint.protocol.usable
