--- a/src/coltsfootshift/gateway/events.py
+++ b/src/coltsfootshift/gateway/events.py
@@ -44,15 +44,23 @@
 
     def feed(self, data: bytes) -> bytes:
         """Buffer received bytes and return those of the events that are complete now."""
-        self._buffer += data
-        # The end of an event may have begun in the bytes that were searched before.
-        start = max(0, self._searched_bytes - _EVENT_END_BYTES + 1)
+        # Most reads hold whole events, which need not be copied to the buffer.
+        source: bytes | bytearray = data
+        start = 0
+        if self._buffer:
+            self._buffer += data
+            source = self._buffer
+            # The end of an event may have begun in the bytes that were searched before.
+            start = max(0, self._searched_bytes - _EVENT_END_BYTES + 1)
         end = 0
-        for match in _EVENT_END.finditer(self._buffer, start):
-            self._record_event(bytes(self._buffer[end : match.end()]))
+        for match in _EVENT_END.finditer(source, start):
+            self._record_event(source[end : match.end()])
             end = match.end()
-        complete = bytes(self._buffer[:end])
-        del self._buffer[:end]
+        complete = bytes(source[:end])
+        if self._buffer:
+            del self._buffer[:end]
+        else:
+            self._buffer += data[end:]
         self._searched_bytes = len(self._buffer)
         return complete
 
@@ -61,7 +69,7 @@
         self._buffer.clear()
         self._searched_bytes = 0
 
-    def _record_event(self, event: bytes) -> None:
+    def _record_event(self, event: bytes | bytearray) -> None:
         match = _ID_FIELD.search(event)
         if match is None:
             self.event_count += _DATA_FIELD.search(event) is not None
