--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -56,13 +56,17 @@
 
 
 class _Attempt(ResponseReceiver):
-    """One attempt of an exchange at an endpoint; data that arrives after its end is dropped."""
+    """One attempt of an exchange at an endpoint; data that arrives after its end is dropped.
+
+    A stream progresses with its head and with each complete event that carries something new.
+    """
 
     def __init__(self, exchange: Exchange, state: EndpointState) -> None:
         self.state = state
         self.active = True
         self.head: ResponseHead | None = None
         self.last_received_at = 0.0
+        self.progressed_at = 0.0
         self.body_started = False
         self.sent_at = 0.0
         self.predicted_seconds = 0.0
@@ -112,14 +116,16 @@
         self._outbound: Any = None
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
-        self._buffered: list[bytes] = []
-        self._buffered_bytes = 0
+        self._buffered = bytearray()
+        self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
             max(0.0, admission.expires_at - reactor.seconds()), self._on_deadline
         )
         incoming.on_disconnect = self._on_caller_disconnect
+        incoming.on_blocked = self._on_caller_blocked
+        incoming.on_unblocked = self._on_caller_unblocked
 
     def __repr__(self) -> str:
         return f"Exchange({self.request!r}, route={self.route.name!r}, runs={self.possible_runs})"
@@ -154,17 +160,23 @@
             outbound.cancel()
 
     def check_stall(self, now: float) -> None:
-        """Resume a resumable stream at another endpoint if it has stalled."""
+        """Resume a stalled stream at another endpoint.
+
+        A stream that can't be resumed may be silent until the deadline. It ends as broken if its
+        endpoint keeps sending bytes that complete no event.
+        """
         attempt = self._attempt
-        if attempt is None or not self._is_streaming or not self.route.resumable:
+        if attempt is None or not self._is_streaming or attempt.head is None or self._blocked:
             return
-        if attempt.head is None or now - attempt.last_received_at < STREAM_STALL_SECONDS:
+        stalled_seconds = now - attempt.progressed_at
+        if stalled_seconds < STREAM_STALL_SECONDS:
             return
-        if self.possible_runs >= self.route.attempts:
+        silent = attempt.last_received_at - attempt.progressed_at < STREAM_STALL_SECONDS
+        if silent and not self._may_retry():
             return
         self._cancel_attempt()
         attempt.state.record_unreachable(self.request, now)
-        self._retry(attempt, f"no event for {now - attempt.last_received_at:.1f} s")
+        self._retry(attempt, f"no event for {stalled_seconds:.1f} s")
 
     def withdraw_outdated(self, min_version: int, now: float) -> None:
         """Cancel an attempt without response data if its endpoint's version is too old by now."""
@@ -180,19 +192,20 @@
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
         now = self._owner.reactor.seconds()
-        attempt.last_received_at = now
+        attempt.last_received_at = attempt.progressed_at = now
         attempt.state.record_response_start(self.request, head.load, now)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
             return
-        if not head.succeeded or not self._is_streaming:
-            return
-        if not head.sealed or head.encoded:
+        if head.succeeded and (not head.sealed or head.encoded):
             self._fail_attempt(attempt, "a success that is not the endpoint's own answer", now)
             return
-        if not self.response_started:
+        if head.status in NOT_RUN_STATUSES:
+            self._fail_attempt(attempt, f"status {head.status} that may have run", now)
+            return
+        if head.succeeded and self._is_streaming and not self.response_started:
             self.version = head.version
-            self.incoming.send_head(head.status, head.forwarded_headers)
+            self.incoming.start_stream(head.status, head.forwarded_headers)
 
     def handle_data(self, attempt: _Attempt, data: bytes) -> None:
         """Handle bytes of a response body."""
@@ -205,14 +218,23 @@
         head = attempt.head
         assert head is not None
         if self._is_streaming and head.succeeded:
+            event_count = self._event_buffer.event_count
             events = self._event_buffer.feed(data)
+            if self._event_buffer.event_count > event_count:
+                attempt.progressed_at = attempt.last_received_at
             if events:
                 self.incoming.write(events)
+            if self._event_buffer.overlong:
+                self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
-        self._buffered.append(data)
-        self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and head.sealed:
+        self._buffered += data
+        if len(self._buffered) <= MAX_BUFFERED_BYTES:
+            return
+        if head.sealed:
             self._flush_buffered(head)
+        else:
+            reason = f"status {head.status} with too long a body"
+            self._fail_attempt(attempt, reason, attempt.last_received_at)
 
     def handle_end(self, attempt: _Attempt) -> None:
         """Handle the end of a complete response."""
@@ -233,12 +255,6 @@
             attempt.state.record_failure(self.request, now)
             self._retry(attempt, f"status {head.status}", keep_response=True)
             return
-        if head.succeeded and (not head.sealed or head.encoded):
-            self._fail_attempt(attempt, "a success that is not the endpoint's own answer", now)
-            return
-        if head.status in NOT_RUN_STATUSES:
-            self._fail_attempt(attempt, f"status {head.status} that may have run", now)
-            return
         if head.succeeded:
             attempt.state.record_success(self.request, now)
         else:
@@ -283,6 +299,9 @@
         self._retry(attempt, reason)
 
     def _may_retry(self) -> bool:
+        """Return whether the request may run again; only a stream can continue a begun response."""
+        if self.response_started and not self._is_streaming:
+            return False
         return self.route.retryable and self.possible_runs < self.route.attempts
 
     def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
@@ -293,7 +312,7 @@
         attempt.active = False
         self._attempt = None
         self._outbound = None
-        buffered, self._buffered, self._buffered_bytes = self._buffered, [], 0
+        buffered, self._buffered = self._buffered, bytearray()
         self._event_buffer.discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
@@ -329,15 +348,13 @@
             self._flush_buffered(head)
             self.incoming.finish()
             return
-        self.incoming.respond(head.status, head.forwarded_headers, b"".join(self._buffered))
+        self.incoming.respond(head.status, head.forwarded_headers, bytes(self._buffered))
 
     def _flush_buffered(self, head: ResponseHead) -> None:
         if not self.response_started:
-            self.incoming.send_head(head.status, head.forwarded_headers)
-        for data in self._buffered:
-            self.incoming.write(data)
-        self._buffered = []
-        self._buffered_bytes = 0
+            self.incoming.start_stream(head.status, head.forwarded_headers)
+        self.incoming.write(bytes(self._buffered))
+        self._buffered.clear()
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
@@ -358,6 +375,20 @@
             self._cancel_attempt()
             self._close("caller gone")
 
+    def _on_caller_blocked(self) -> None:
+        """Let the rest of the response wait at the endpoint while the caller is slow."""
+        self._blocked = True
+        if self._outbound is not None:
+            self._outbound.pause()
+
+    def _on_caller_unblocked(self) -> None:
+        self._blocked = False
+        if self._attempt is not None:
+            now = self._owner.reactor.seconds()
+            self._attempt.last_received_at = self._attempt.progressed_at = now
+        if self._outbound is not None:
+            self._outbound.resume()
+
     def _cancel_attempt(self, keep_connection: bool = False) -> None:
         attempt, outbound = self._attempt, self._outbound
         if attempt is not None:
@@ -365,7 +396,9 @@
             attempt.state.record_cancelled(self.request)
         self._attempt = None
         self._outbound = None
-        if outbound is not None and not keep_connection:
+        if outbound is not None and keep_connection:
+            outbound.drain()
+        elif outbound is not None:
             outbound.cancel()
 
     def _close(self, outcome: str) -> None:
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -22,6 +22,12 @@
 MAX_IDLE_SECONDS = 4.0  # below the keep-alive of endpoints, usually 5 s or more
 KEEP_ALIVE_MARGIN_SECONDS = 1.0  # endpoints announce their timeout in whole seconds
 MAX_HEAD_BYTES = 64 * 1024
+MAX_HEAD_SECONDS = 1.5  # a head is sent at once; the time includes that for lost packets
+# The rest of a response that is of no use is read within these limits to keep its connection.
+MAX_DRAIN_BYTES = 64 * 1024
+MAX_DRAIN_SECONDS = 1.0
+RESPONSE_START = b"HTTP/"
+MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
 
 
 class ResponseReceiver(ABC):
@@ -47,6 +53,31 @@
         """
 
 
+class _Drain(ResponseReceiver):
+    """Discards the rest of a response, and cancels its connection if that takes too long."""
+
+    def __init__(self, connection: EndpointConnection, reactor: Any) -> None:
+        self._connection = connection
+        self._left_bytes = MAX_DRAIN_BYTES
+        self._timer = reactor.callLater(MAX_DRAIN_SECONDS, connection.cancel)
+
+    def head_received(self, head: ResponseHead) -> None:
+        """Do nothing: the head has been received before."""
+
+    def body_received(self, data: bytes) -> None:
+        self._left_bytes -= len(data)
+        if self._left_bytes < 0:
+            self.response_completed()
+            self._connection.cancel()
+
+    def response_completed(self) -> None:
+        if self._timer.active():
+            self._timer.cancel()
+
+    def attempt_failed(self, reason: str, sent: bool) -> None:
+        self.response_completed()
+
+
 class EndpointConnection(Protocol):
     """A connection to an endpoint, which carries one request at a time.
 
@@ -62,8 +93,12 @@
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self._receiver: ResponseReceiver | None = None
         self._request = ""
+        self._start = b""
+        self._informational_count = 0
+        self._head_timer: Any = None
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
+        self._paused = False
 
     def connectionMade(self) -> None:
         """Detect a dead peer by keep-alive probes and unacknowledged bytes."""
@@ -95,6 +130,8 @@
         """
         self._receiver = receiver
         self._request = request
+        self._start = b""
+        self._informational_count = 0
         head = h11.Request(method=method, target=target, headers=headers)
         data = self._http.send(head)
         if body:
@@ -107,13 +144,38 @@
         self._receiver = None
         self._abort()
 
+    def pause(self) -> None:
+        """Read no further bytes of the response in progress until it is resumed."""
+        if self._receiver is not None and not self._lost:
+            self._paused = True
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        if self._paused and not self._lost:
+            self._paused = False
+            self.transport.resumeProducing()
+
+    def drain(self) -> None:
+        """Discard the rest of the response in progress; a short one leaves the connection open."""
+        if self._receiver is not None:
+            self._receiver = _Drain(self, self._pool.reactor)
+
     def dataReceived(self, data: bytes) -> None:
         """Read the response; bytes that arrive without a request abort the connection."""
         if self._receiver is None:
             self._abort()
             return
+        if len(self._start) < len(RESPONSE_START):
+            self._start += data[: len(RESPONSE_START) - len(self._start)]
+            if not RESPONSE_START.startswith(self._start):
+                self._fail(f"no HTTP answer: begins with {self._start!r}")
+                self._abort()
+                return
         self._http.receive_data(data)
         self._read_events()
+        if self._http.their_state is h11.SEND_RESPONSE and self._head_timer is None:
+            self._limit_head_time()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """Fail the request in flight.
@@ -122,6 +184,7 @@
         was closed cleanly.
         """
         self._lost = True
+        self._cancel_head_timer()
         if self._receiver is not None and reason.check(connectionDone.type):
             self._http.receive_data(b"")
             self._read_events()
@@ -144,11 +207,29 @@
                 self._receiver.body_received(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._handle_end()
+            elif isinstance(event, h11.InformationalResponse):
+                self._handle_informational()
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail("connection closed before an answer")
                 return
 
+    def _limit_head_time(self) -> None:
+        """Start the time within which a head has to be complete, unless none has begun."""
+        if self._receiver is not None and self._http.trailing_data[0]:
+            self._head_timer = self._pool.reactor.callLater(MAX_HEAD_SECONDS, self._on_head_timeout)
+
+    def _on_head_timeout(self) -> None:
+        self._head_timer = None
+        self._fail(f"no complete head within {MAX_HEAD_SECONDS} s of its first byte")
+        self._abort()
+
+    def _cancel_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
     def _handle_head(self, event: h11.Response) -> None:
+        self._cancel_head_timer()
         head = self._pool.dialect.parse_response(event.status_code, event.headers)
         if head.request != self._request:
             self._fail(f"the answer names the request {head.request!r}")
@@ -159,11 +240,20 @@
         if self._receiver is not None:
             self._receiver.head_received(head)
 
+    def _handle_informational(self) -> None:
+        """Skip an informational response; each is complete, so h11 does not limit their number."""
+        self._cancel_head_timer()
+        self._informational_count += 1
+        if self._informational_count > MAX_INFORMATIONAL_RESPONSES:
+            self._fail("too many informational responses")
+            self._abort()
+
     def _handle_end(self) -> None:
         receiver, self._receiver = self._receiver, None
         http = self._http
         clean = not http.trailing_data[0] and http.our_state is h11.DONE
         if clean and http.their_state is h11.DONE and not self._lost:
+            self.resume()
             http.start_next_cycle()
             self.idle_until = self._pool.reactor.seconds() + min(MAX_IDLE_SECONDS, self._keep_alive)
             self._pool.add_idle(self)
@@ -180,6 +270,7 @@
     def _abort(self) -> None:
         if not self._lost:
             self._lost = True
+            self._cancel_head_timer()
             self.transport.abortConnection()
 
 
@@ -244,6 +335,21 @@
         elif self.connector is not None:
             self.connector.stopConnecting()
 
+    def pause(self) -> None:
+        """Let the rest of the response wait at the endpoint."""
+        if self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read on after a pause."""
+        if self.connection is not None:
+            self.connection.resume()
+
+    def drain(self) -> None:
+        """Discard the rest of the response, whose head has arrived."""
+        if not self.cancelled and self.connection is not None:
+            self.connection.drain()
+
 
 class _DialledConnection(EndpointConnection):
     """A connection that was dialled for one request."""
