Let agents take tables from entries of their own region

Cause: an agent connects to two entries chosen by a hash over all of them, so that most of 18 agents took each catalogue over a link between regions. A request placed 1.2 s before the limit waited 1.6 s on that link. Change: an agent prefers entries whose row names its region, in the same order as before. Entries still choose among all, so that their mesh does not fall apart by region. One of three new test rows failed before; the others show that an agent still has two entries. Not covered: the store's own answers to all entries of a region share that link, and a request that waits there longer than the margin of 1 s still begins late.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -180,18 +180,22 @@
         self.announce()
 
     def _choose_peers(self) -> None:
+        rows = self._roster.list_rows()
         addresses = list(self._seeds)
-        for row in self._roster.list_rows():
-            addresses.append(Address(row.host, row.peer_port))
+        addresses.extend(Address(row.host, row.peer_port) for row in rows)
         targets = {}
         for address in addresses:
             if address != self._own_address:
                 targets[InstanceId(f"{address.host}:{address.port}")] = address
         max_targets = MAX_PEERS if self._own_address is not None else ENTRIES_PER_AGENT
         if len(targets) > max_targets:
-            own = self._context.make_hello(Purpose.ENTRIES).instance
-            chosen = rank_by_hash(own, list(targets))[:max_targets]
-            targets = {InstanceId(name): targets[InstanceId(name)] for name in chosen}
+            hello = self._context.make_hello(Purpose.ENTRIES)
+            chosen = rank_by_hash(hello.instance, list(targets))
+            if self._own_address is None:
+                # Whole catalogues come from these entries; the links between regions are narrow.
+                near = {f"{row.host}:{row.peer_port}" for row in rows if row.region == hello.region}
+                chosen.sort(key=lambda name: name not in near)
+            targets = {InstanceId(name): targets[InstanceId(name)] for name in chosen[:max_targets]}
         self._dialer.set_targets(targets)
 
     def _merge_roster(self, message: EntryList) -> None:
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.gateway.fleet import (
+    ENTRIES_PER_AGENT,
     FALLBACK_ENTRIES,
     OWN_ANSWER_SECONDS,
     REQUEST_TIMEOUT_SECONDS,
@@ -24,6 +25,7 @@
 from coltsfootshift.messages import (
     EntryList,
     EntryRow,
+    Hello,
     TableChanges,
     TableChangesRequest,
     TableItem,
@@ -75,8 +77,13 @@
 
 
 class Context:
-    def __init__(self, clock):
+    def __init__(self, clock, region="north"):
         self.reactor = clock
+        self._region = region
+
+    def make_hello(self, purpose):
+        role = Role.AGENT.value
+        return Hello("agent-1", "1", role, purpose.value, "", self._region, "a", 0.0)
 
 
 def make_row(name="entry-1", sequence=1, ready=True, leaving=False, domain="a"):
@@ -238,6 +245,28 @@
     assert len(lists[-1].rows) == 1 + others
 
 
+@pytest.mark.parametrize(
+    ("region", "near"),
+    [("north", 2), ("south", 1), ("west", 0)],
+    ids=["enough entries in its region", "one in its region", "none in its region"],
+)
+def test_agent_prefers_entries_of_its_region(clock, region, near):
+    """Agents that take a large catalogue from another region fill the link between the regions."""
+    roster = Roster(None)
+    rows = []
+    for number in range(9):
+        place = "south" if number == 4 else "north"
+        rows.append(EntryRow(f"x-{number}", 1, "10.0.0.1", number, 2, place, "a", True, False))
+    roster.merge(rows, 0.0)
+    context = Context(clock, region)
+    fleet = FleetTask(context, TableCache(NullDecoder()), roster, [], None, Observer(), Random(1))
+    dialled = []
+    fleet._dialer.set_targets = lambda targets: dialled.extend(targets.values())
+    fleet._choose_peers()
+    assert len(dialled) == ENTRIES_PER_AGENT
+    assert sum(rows[address.port].region == region for address in dialled) == near
+
+
 NAMES = [f"entry-{number}" for number in range(16)]
 
 
