--- a/tests/test_endless_control_answers.py
+++ b/tests/test_endless_control_answers.py
@@ -12,6 +12,7 @@
 import subprocess
 import sys
 import time
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 import pytest
@@ -118,6 +119,22 @@
         assert closed_at is not None and closed_at < ended_at - LINGER_SECONDS / 2
 
 
+DRIBBLES = {
+    "head": (b"HTTP/1.1 200 OK\r\nA: ", b"a"),
+    "body": (CHUNKED, b"1\r\na\r\n"),
+}
+
+
+@pytest.fixture(scope="module", autouse=True)
+def dribbles():
+    """Play the slow answers beside the other tests, as they last as long as the time limits."""
+    with ThreadPoolExecutor() as pool:
+        yield {
+            kind: pool.submit(lambda row: asyncio.run(play(*row, 0.1)), row)
+            for kind, row in DRIBBLES.items()
+        }
+
+
 @pytest.mark.parametrize("kind", [*HEADS, *BODIES])
 def test_control_answer_without_end(kind):
     start, piece = {**HEADS, **BODIES}[kind]
@@ -132,13 +149,9 @@
         assert set(outcomes.values()) == {"failed"}
 
 
-@pytest.mark.parametrize(
-    ("start", "piece"),
-    [(b"HTTP/1.1 200 OK\r\nA: ", b"a"), (CHUNKED, b"1\r\na\r\n")],
-    ids=["head", "body"],
-)
-def test_control_answer_that_dribbles(start, piece):
-    server, outcomes, ended_at = asyncio.run(play(start, piece, 0.1))
+@pytest.mark.parametrize("kind", DRIBBLES)
+def test_control_answer_that_dribbles(kind, dribbles):
+    server, outcomes, ended_at = dribbles[kind].result()
     assert len(outcomes) == CLIENT_COUNT
     assert set(outcomes.values()) == {"failed"}
     check_closed(server, ended_at)
