--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -6,6 +6,7 @@
 
 import pytest
 from coltsfootshift_platform.dialect import PlatformDialect
+from fleet_harness import Context, Observer, Stream
 from gateway_harness import BOUNDS, NullDecoder
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
@@ -16,7 +17,6 @@
     FALLBACK_ENTRIES,
     REQUEST_TIMEOUT_SECONDS,
     STORE_ANSWER_SECONDS,
-    FleetObserver,
     FleetTask,
 )
 from coltsfootshift.gateway.nodes import (
@@ -44,53 +44,6 @@
 from coltsfootshift.streams import StreamContext
 
 
-class Observer(FleetObserver):
-    def __init__(self, reads=False):
-        self._reads = reads
-
-    def reads_store(self, table):
-        return self._reads
-
-    def tables_changed(self):
-        pass
-
-    def roster_changed(self):
-        pass
-
-    def engine_status_received(self, notice):
-        pass
-
-
-class Stream:
-    """A stream to a peer that records the messages sent on it."""
-
-    max_transit_seconds = 0.0
-
-    def __init__(self, incarnation="1", peer_id="entry-2", role=Role.ENTRY):
-        self.sent = []
-        self.aborted = False
-        self.peer_incarnation = incarnation
-        self.peer_id = InstanceId(peer_id)
-        self.peer_role = role.value
-
-    def send(self, message):
-        self.sent.append(message)
-
-    def set_needed(self, needed):
-        pass
-
-    def abort(self, reason):
-        self.aborted = True
-
-    def count_requests(self):
-        return sum(isinstance(message, TableChangesRequest) for message in self.sent)
-
-
-class Context:
-    def __init__(self, clock):
-        self.reactor = clock
-
-
 def make_row(name="entry-1", sequence=1, ready=True, leaving=False, domain="a"):
     return EntryRow(name, sequence, "10.0.0.1", 1, 2, "north", domain, ready, leaving)
 
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -6,10 +6,11 @@
 
 import msgspec
 import pytest
+from fleet_harness import Context, Observer, Stream
 from gateway_harness import GatewayHarness, VersionDecoder
 from twisted.internet.task import Clock
 
-from coltsfootshift.gateway.fleet import FleetObserver, FleetTask
+from coltsfootshift.gateway.fleet import FleetTask
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.table_cache import (
     Item,
@@ -18,7 +19,6 @@
     TableCache,
     WantedVersion,
 )
-from coltsfootshift.ids import InstanceId, Role
 from coltsfootshift.messages import EntryRow, PublishedVersion, TableRevision, TableRevisions
 from coltsfootshift.settings import Address
 
@@ -27,40 +27,6 @@
 MODEL_HEADERS = ("X-Model: m", "X-Token-Counts: 100,50")
 
 
-class Observer(FleetObserver):
-    def tables_changed(self):
-        pass
-
-    def roster_changed(self):
-        pass
-
-    def engine_status_received(self, notice):
-        pass
-
-
-class Stream:
-    """A stream that records the messages sent on it."""
-
-    max_transit_seconds = 0.0
-    peer_incarnation = "1"
-    peer_id = InstanceId("peer")
-    peer_role = Role.ENTRY.value
-
-    def __init__(self):
-        self.sent = []
-
-    def send(self, message):
-        self.sent.append(message)
-
-    def set_needed(self, needed):
-        pass
-
-
-class Context:
-    def __init__(self, clock):
-        self.reactor = clock
-
-
 def make_fleet(clock, tables):
     row = EntryRow("entry", 1, "10.0.0.1", 1, 2, "north", "a", True, False)
     address = Address("10.0.0.1", 1)
