--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -10,7 +10,7 @@
 from dataclasses import dataclass
 
 from coltsfootshift.errors import ColtsfootshiftError
-from coltsfootshift.ids import InstanceId, RequestId, TeamName
+from coltsfootshift.ids import InstanceId, PromptPartId, RequestId, TeamName
 from coltsfootshift.outcomes import NotRun, Unknown
 
 __all__ = [
@@ -40,6 +40,8 @@
 
     `deadline` is in seconds from the arrival of the request, or None if the caller set none.
     `prompt_tokens`, `answer_tokens` and `answer_hint` are zero if the caller sent none.
+    `shared_parts` are the parts of the prompt, in order, that other requests may share: all but
+    the last, which belongs to the request or its session.
     `forwarded_headers` are sent to the endpoint unchanged.
     """
 
@@ -56,6 +58,7 @@
     answer_hint: int
     resume_after: str
     forwarded_headers: Headers
+    shared_parts: tuple[PromptPartId, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -67,6 +67,8 @@
         self.head: ResponseHead | None = None
         self.last_received_at = 0.0
         self.progressed_at = 0.0
+        self.begun_at: float | None = None
+        self.event_count = 0
         self.body_started = False
         self.sent_at = 0.0
         self.predicted_seconds = 0.0
@@ -192,7 +194,7 @@
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
         now = self._owner.reactor.seconds()
-        attempt.last_received_at = attempt.progressed_at = now
+        attempt.last_received_at = attempt.progressed_at = attempt.begun_at = now
         attempt.state.record_response_start(self.request, head.load, now)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
@@ -220,6 +222,7 @@
         if self._is_streaming and head.succeeded:
             event_count = self._event_buffer.event_count
             events = self._event_buffer.feed(data)
+            attempt.event_count += self._event_buffer.event_count - event_count
             if self._event_buffer.event_count > event_count:
                 attempt.progressed_at = attempt.last_received_at
             if events:
@@ -316,12 +319,16 @@
         self._event_buffer.discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
+        begun_at = attempt.begun_at
+        begun = None if begun_at is None else round(self._owner.reactor.seconds() - begun_at, 3)
         logger.info(
             "order failed",
             extra={
                 "request": self.request,
                 "endpoint": attempt.state.record.endpoint,
                 "cause": reason,
+                "begun": begun,
+                "events": attempt.event_count,
                 "runs": self.possible_runs,
                 "again": retrying,
             },
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -340,6 +340,7 @@
                 "predicted": round(state.predict_start(exchange.size, now), 3),
                 "version": served,
                 "min_version": min_version,
+                "parts": head.shared_parts,
             },
         )
         receiver = exchange.start_attempt(state)
--- a/src/coltsfootshift/ids.py
+++ b/src/coltsfootshift/ids.py
@@ -12,6 +12,7 @@
     "Incarnation",
     "InstanceId",
     "InstanceState",
+    "PromptPartId",
     "Purpose",
     "Region",
     "RequestId",
@@ -30,6 +31,7 @@
 ServiceName = NewType("ServiceName", str)
 TeamName = NewType("TeamName", str)
 RequestId = NewType("RequestId", str)
+PromptPartId = NewType("PromptPartId", str)
 TicketId = NewType("TicketId", str)
 Digest = NewType("Digest", str)
 Incarnation = NewType("Incarnation", str)
