Refuse requests with something in common under which engines end

Cause: the gateway judged each attempt alone. Nothing remembered what had just begun at an engine when it ended, so every new request with the part took one engine, or two with its retry, at every entry. The product's own interface has a quarantine of whole requests; the gateway had none, so that a repeated request under which engines end did the same.

Now each loss of all connections to an endpoint is recorded with the requests that it had just begun. What they have in common with others (each shared part of the prompt, and the whole request) is suspected until an endpoint survives it. A suspect is quarantined if none has, and if chance does not explain that: other requests survive, and no crash of the service meanwhile is without it. Its crashes then count for nothing else that the requests held. A request that was there at two crashes is not tried again. Entries tell each other at once, with ages, not times; a new stream brings all that is known, from agents as well, so that a restart of all entries loses nothing. All is bounded in number and expires.

--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -40,8 +40,7 @@
 
     `deadline` is in seconds from the arrival of the request, or None if the caller set none.
     `prompt_tokens`, `answer_tokens` and `answer_hint` are zero if the caller sent none.
-    `shared_parts` are the parts of the prompt, in order, that other requests may share: all but
-    the last, which belongs to the request or its session.
+    `prompt_parts` are the parts of the prompt in order.
     `forwarded_headers` are sent to the endpoint unchanged.
     """
 
@@ -58,7 +57,12 @@
     answer_hint: int
     resume_after: str
     forwarded_headers: Headers
-    shared_parts: tuple[PromptPartId, ...] = ()
+    prompt_parts: tuple[PromptPartId, ...] = ()
+
+    @property
+    def shared_parts(self) -> tuple[PromptPartId, ...]:
+        """The parts that other requests may share: the last belongs to this one or its session."""
+        return self.prompt_parts[:-1]
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,7 +92,8 @@
 
     `not_run` is set only if the endpoint itself states that the request has not run. `sealed`
     is set if the response carries the endpoint's seal, `encoded` if its content is encoded, for
-    example compressed. `keep_alive` is in seconds, or None if the endpoint sent none.
+    example compressed. `framed` is set if the body has a length or chunks, so that its end does not
+    depend on that of the connection. `keep_alive` is in seconds, or None if the endpoint sent none.
     """
 
     status: int
@@ -96,6 +101,7 @@
     not_run: bool
     sealed: bool
     encoded: bool
+    framed: bool
     load: EndpointLoadReport | None
     keep_alive: float | None
     version: int | None
--- a/src/coltsfootshift/gateway/checks.py
+++ b/src/coltsfootshift/gateway/checks.py
@@ -6,13 +6,24 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from coltsfootshift.controllers.quarantine import Standing
 from coltsfootshift.gateway.calls import RequestHead
+from coltsfootshift.gateway.crashes import CrashEvidence, Suspect, list_suspects
 from coltsfootshift.gateway.model import Route, ServiceSpec, Team
 from coltsfootshift.gateway.table_cache import Table, TableCache
 from coltsfootshift.ids import ServiceName, TeamName
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["Admission", "Check", "Rejection", "Denied", "KeyCheck", "LimitCheck", "RouteCheck"]
+__all__ = [
+    "Admission",
+    "Check",
+    "CrashCheck",
+    "Denied",
+    "KeyCheck",
+    "LimitCheck",
+    "Rejection",
+    "RouteCheck",
+]
 
 # By then a read of the store may have updated this entry; another entry may be up to date already.
 CATALOGUE_RETRY_SECONDS = 0.5
@@ -32,15 +43,18 @@
 class Admission:
     """A request and what the admission checks have found out about it.
 
-    `arrived_at` and `expires_at` are in seconds of the same monotonic clock.
+    `arrived_at` and `expires_at` are in seconds of the same monotonic clock. `suspects` is what
+    could crash an endpoint that runs the request.
     """
 
     head: RequestHead
     arrived_at: float
+    body: bytes = b""
     route: Route | None = None
     service: ServiceSpec | None = None
     team: Team = field(default_factory=lambda: Team(TeamName("")))
     expires_at: float = 0.0
+    suspects: tuple[Suspect, ...] = ()
 
     @property
     def priority(self) -> int:
@@ -137,3 +151,27 @@
         if admission.expires_at <= now:
             return NotRun("the deadline has passed", retry_after=0.0)
         return None
+
+
+class CrashCheck(Check):
+    """Refuses requests with something in common under which endpoints have ended."""
+
+    def __init__(self, evidence: CrashEvidence) -> None:
+        self._evidence = evidence
+
+    def find_refusal(
+        self, admission: Admission, tables: TableCache, now: float
+    ) -> Rejection | None:
+        """Refuse quarantined requests until the quarantine ends."""
+        assert admission.service is not None
+        service = admission.service.name
+        admission.suspects = list_suspects(service, admission.head, admission.body)
+        self._evidence.record_request(service, admission.suspects)
+        if self._evidence.find_standing(admission.suspects, now) is not Standing.QUARANTINED:
+            return None
+        return self.make_refusal(admission, now)
+
+    def make_refusal(self, admission: Admission, now: float) -> NotRun:
+        """Return the refusal of a request that is quarantined now."""
+        left = self._evidence.get_seconds_left(admission.suspects, now)
+        return NotRun("endpoints end under requests like this one", retry_after=left)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -22,6 +22,9 @@
 # More than three times the largest gap objective, so that slow streams are not treated as stalled.
 # It is also how long a stream pauses when its endpoint is lost.
 STREAM_STALL_SECONDS = 1.5
+# An engine that ends under a request does so within two scheduler passes, of up to 0.1 s each.
+SURVIVAL_SECONDS = 0.5
+SURVIVAL_EVENTS = 4
 STATUS_MISDIRECTED = 421
 # Callers rely on these statuses as a guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -46,6 +49,17 @@
     def record_response_start(self, predicted: float, elapsed: float) -> None:
         """Record the time from sending to the start of a response body, in seconds."""
 
+    @abstractmethod
+    def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
+        """Record that the connection of an attempt ended before its response was complete.
+
+        `begun` is set if the endpoint may have ended because it had just begun the request.
+        """
+
+    @abstractmethod
+    def record_survival(self, exchange: Exchange, begun_at: float) -> None:
+        """Record that an endpoint runs on after it began a request at `begun_at`, in seconds."""
+
     @abstractmethod
     def record_end(self, exchange: Exchange, outcome: str) -> None:
         """Record the end of an exchange; called once for each."""
@@ -69,11 +83,18 @@
         self.progressed_at = 0.0
         self.begun_at: float | None = None
         self.event_count = 0
+        self.survived = False
         self.body_started = False
         self.sent_at = 0.0
         self.predicted_seconds = 0.0
         self._exchange = exchange
 
+    def has_survived(self, now: float) -> bool:
+        """Whether the endpoint has run the request for long enough not to end under it."""
+        if self.begun_at is None or self.event_count < SURVIVAL_EVENTS:
+            return False
+        return now - self.begun_at >= SURVIVAL_SECONDS
+
     def head_received(self, head: ResponseHead) -> None:
         if self.active:
             self.head = head
@@ -225,6 +246,8 @@
             attempt.event_count += self._event_buffer.event_count - event_count
             if self._event_buffer.event_count > event_count:
                 attempt.progressed_at = attempt.last_received_at
+            if not attempt.survived and attempt.has_survived(attempt.last_received_at):
+                self._record_survival(attempt)
             if events:
                 self.incoming.write(events)
             if self._event_buffer.overlong:
@@ -248,12 +271,17 @@
             return
         if self._is_streaming and head.succeeded:
             if not self._event_buffer.at_event_boundary:
+                self._record_loss(attempt)
                 self._fail_attempt(attempt, "the stream ended within an event", now)
                 return
+            if head.framed:
+                self._record_survival(attempt)
             attempt.state.record_success(self.request, now)
             self._close("complete")
             self.incoming.finish()
             return
+        if head.framed:
+            self._record_survival(attempt)
         if head.status >= 500 and self._may_retry():
             attempt.state.record_failure(self.request, now)
             self._retry(attempt, f"status {head.status}", keep_response=True)
@@ -271,9 +299,21 @@
         if not sent:
             self.possible_runs -= 1
             self.tried.discard(attempt.state.record.endpoint)
+        else:
+            self._record_loss(attempt)
         attempt.state.record_unreachable(self.request, now)
         self._retry(attempt, reason)
 
+    def withdraw(self, outcome: NotRun) -> None:
+        """End the exchange unless its response has begun, whose outcome is awaited."""
+        attempt = self._attempt
+        if self.response_started or (attempt is not None and attempt.head is not None):
+            return
+        if attempt is not None and not self._outbound.sent:
+            self.possible_runs -= 1
+        self._cancel_attempt()
+        self.refuse(outcome)
+
     def refuse(self, outcome: NotRun) -> None:
         """End the exchange; the outcome is unknown if an earlier attempt may have run."""
         if self.ended:
@@ -286,6 +326,17 @@
         else:
             self._owner.send_refusal(self, outcome)
 
+    def _record_survival(self, attempt: _Attempt) -> None:
+        if attempt.survived or attempt.begun_at is None:
+            return
+        attempt.survived = True
+        self._owner.record_survival(self, attempt.begun_at)
+
+    def _record_loss(self, attempt: _Attempt) -> None:
+        # A plain service sends its head when it has run the request, an engine when it begins to.
+        begun = attempt.head is not None or self.service.engine is None
+        self._owner.record_loss(self, attempt.state, begun and not attempt.survived)
+
     def _handle_not_run(self, attempt: _Attempt, head: ResponseHead, now: float) -> None:
         """Retry after the endpoint has stated that it has not run the request."""
         self.possible_runs -= 1
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import LoopingCall
 
 from coltsfootshift.controllers.rings import rank_by_hash
+from coltsfootshift.gateway.beliefs import BeliefAnswer
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
 from coltsfootshift.ids import InstanceId, Purpose, Role
@@ -20,6 +21,7 @@
     Leaving,
     Message,
     PublishedVersion,
+    SuspicionReport,
     TableChanges,
     TableChangesRequest,
     TableItem,
@@ -59,6 +61,14 @@
     def engine_status_received(self, notice: EngineNotice) -> None:
         """Handle an agent's report of what its engine serves."""
 
+    def list_beliefs(self) -> list[Message]:
+        """Return messages that tell a new peer what this process knows of endpoints."""
+        return []
+
+    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
+        """Merge what a peer knows of endpoints."""
+        return BeliefAnswer()
+
     def reads_store(self, table: Table) -> bool:
         """Return whether this process itself reads a table from the store."""
         return False
@@ -129,6 +139,10 @@
         """Send the status of the engine to the connected entries."""
         self._broadcast(notice)
 
+    def notify_peers(self, message: Message) -> None:
+        """Send a message to all connected processes."""
+        self._broadcast(message)
+
     def stream_opened(self, stream: PeerStream) -> None:
         """Send the roster and revisions to a new peer.
 
@@ -145,6 +159,8 @@
         if self._roster.own is not None:
             stream.send(EntryList(self._roster.list_rows()))
             stream.send(self._make_revision_report())
+        for message in self._observer.list_beliefs():
+            stream.send(message)
 
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
         """Remove the stream and its pending requests."""
@@ -170,9 +186,22 @@
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
             self._observer.engine_status_received(message)
+        elif isinstance(message, SuspicionReport):
+            self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
 
+    def _receive_belief(self, stream: PeerStream, message: SuspicionReport) -> None:
+        """Merge a report and pass on what was news: not all processes are connected."""
+        answer = self._observer.belief_received(message, stream.peer_id)
+        if answer.reply is not None:
+            stream.send(answer.reply)
+        if answer.relay is None:
+            return
+        for peer, streams in list(self._streams.items()):
+            if peer != stream.peer_id:
+                streams[-1].send(answer.relay)
+
     def _tick(self) -> None:
         now = self._context.reactor.seconds()
         self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS))
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -110,6 +110,11 @@
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2)
         handle.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_TIMEOUT_MILLISECONDS)
 
+    @property
+    def established(self) -> bool:
+        """Whether the connection is open, as far as this process knows."""
+        return bool(self.connected) and not self._lost
+
     @property
     def usable(self) -> bool:
         """Whether another request may be sent on this connection."""
@@ -360,6 +365,7 @@
 
     def connectionMade(self) -> None:
         super().connectionMade()
+        self._pool.add_established(self)
         outbound, self._outbound = self._outbound, None
         if outbound is None or outbound.cancelled:
             self._abort()
@@ -378,6 +384,7 @@
         self._address = address
         self._source = source
         self._idle: deque[EndpointConnection] = deque()
+        self._established: set[EndpointConnection] = set()
         self._open = 0
 
     def __repr__(self) -> str:
@@ -419,6 +426,15 @@
         )
         return outbound
 
+    @property
+    def connected(self) -> bool:
+        """Whether any connection to the endpoint is established."""
+        return any(connection.established for connection in self._established)
+
+    def add_established(self, connection: EndpointConnection) -> None:
+        """Record a connection that has been opened."""
+        self._established.add(connection)
+
     def add_idle(self, connection: EndpointConnection) -> None:
         """Make a connection available for the next request."""
         self._idle.append(connection)
@@ -426,6 +442,7 @@
     def remove(self, connection: EndpointConnection) -> None:
         """Remove a lost connection."""
         self._open -= 1
+        self._established.discard(connection)
         if connection in self._idle:
             self._idle.remove(connection)
 
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
-from math import isfinite
+from math import inf, isfinite
 from random import Random
 from typing import Any, Protocol
 
@@ -18,8 +18,10 @@
 
 from coltsfootshift.controllers.chunks import Location
 from coltsfootshift.errors import SettingsError
+from coltsfootshift.gateway.beliefs import BeliefAnswer, SharedBeliefs
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.calls import Dialect
+from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_entry_row
 from coltsfootshift.gateway.rollout import RolloutTask
@@ -43,7 +45,7 @@
 )
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.logs import get_logger, set_up_bounded_logs
-from coltsfootshift.messages import EngineNotice, Hello
+from coltsfootshift.messages import EngineNotice, Hello, Message, SuspicionReport
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address, StreamTiming
 from coltsfootshift.streams import StreamContext, StreamListener
@@ -110,6 +112,7 @@
         self.metrics = Metrics()
         self.tables = TableCache(decoder, reactor.seconds() - STARTUP_SECONDS)
         self.roster = roster
+        self.beliefs = SharedBeliefs(self.choose_judging_start())
         self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
         self.leaving_since: float | None = None
         self.started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
@@ -184,6 +187,21 @@
     def engine_status_received(self, notice: EngineNotice) -> None:
         """Ignore reports of engines; only entries route requests to them."""
 
+    def choose_judging_start(self) -> float:
+        """Return from when on this process decides what crashes endpoints: never, by default."""
+        return inf
+
+    def list_beliefs(self) -> list[Message]:
+        """Return what a new peer has to know of endpoints.
+
+        Agents keep it as well, so that entries that have all restarted learn it from them.
+        """
+        return self.beliefs.list_messages(self.reactor.seconds())
+
+    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
+        """Merge what a peer knows of endpoints."""
+        return self.beliefs.receive(message, peer, self.reactor.seconds())
+
     @abstractmethod
     def start_role(self) -> None:
         """Start the components that are specific to the role."""
@@ -258,7 +276,9 @@
             bounds,
             self.metrics,
             self.rng,
+            self.beliefs,
         )
+        self.gateway.notify_peers = self.fleet.notify_peers
         self._callers = callers
         self._caller_factory = CallerFactory(self.gateway, reactor)
         self._port: Any = None
@@ -310,6 +330,17 @@
         status = EngineStatus(notice.born, notice.model, notice.version, notice.loading, now)
         self.gateway.update_engine_status(Address(notice.host, notice.port), status)
 
+    def choose_judging_start(self) -> float:
+        """Return when this entry has seen for long enough what is served."""
+        return self.reactor.seconds() + SURVIVAL_MEMORY_SECONDS
+
+    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
+        """Merge what a peer knows of endpoints, and end the requests that it puts in quarantine."""
+        answer = super().belief_received(message, peer)
+        if answer.relay is not None:
+            self.gateway.end_quarantined()
+        return answer
+
     def start_role(self) -> None:
         """Listen for peers, callers and HTTP queries, and start reading the store."""
         self.listener.register(Purpose.ENTRIES, self.fleet)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,32 +2,38 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from math import isfinite
 from random import Random
 from typing import Any
 
 from twisted.internet.task import LoopingCall
 
+from coltsfootshift.controllers.quarantine import Standing
+from coltsfootshift.gateway.beliefs import SharedBeliefs
 from coltsfootshift.gateway.budget import RetryBudget
 from coltsfootshift.gateway.callers import IncomingRequest, RequestHandler
 from coltsfootshift.gateway.calls import AttemptTerms, Dialect, RequestError, RequestHead
 from coltsfootshift.gateway.checks import (
     Admission,
     Check,
+    CrashCheck,
     Denied,
     KeyCheck,
     LimitCheck,
     RouteCheck,
 )
+from coltsfootshift.gateway.crashes import Suspect
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, compute_departure_interval
 from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
-from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
+from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
+from coltsfootshift.messages import Message
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.outcomes import NotRun, Unknown
 from coltsfootshift.settings import Address
@@ -43,6 +49,8 @@
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
 ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
+# The connections to an endpoint that has ended close within this time.
+LOSS_SETTLE_SECONDS = 0.1
 
 logger = get_logger("gateway")
 
@@ -64,8 +72,21 @@
     budget_window: float
 
 
+@dataclass(slots=True)
+class _PendingLoss:
+    """Connections to one endpoint that were lost within moments, and what had just begun there."""
+
+    pool: ConnectionPool
+    service: ServiceName
+    begun: list[tuple[Suspect, ...]] = field(default_factory=list)
+    requests: list[RequestId] = field(default_factory=list)
+
+
 class Gateway(RequestHandler, ExchangeOwner):
-    """Routes callers' requests to endpoints and returns the responses."""
+    """Routes callers' requests to endpoints and returns the responses.
+
+    `notify_peers` is called with messages for the other processes.
+    """
 
     def __init__(
         self,
@@ -77,16 +98,25 @@
         bounds: GatewayBounds,
         metrics: Metrics,
         rng: Random,
+        beliefs: SharedBeliefs | None = None,
     ) -> None:
         self.reactor = reactor
         self.tables = tables
         self.metrics = metrics
+        self.beliefs = beliefs or SharedBeliefs()
+        self.notify_peers: Callable[[Message], None] | None = None
         self.leaving_since: float | None = None
         self._dialect = dialect
         self._source = source
         self._bounds = bounds
         self._rng = rng
-        self._checks: list[Check] = [RouteCheck(rng), KeyCheck(bounds.revoke_within), LimitCheck()]
+        self._crash_check = CrashCheck(self.beliefs.crashes)
+        self._checks: list[Check] = [
+            RouteCheck(rng),
+            KeyCheck(bounds.revoke_within),
+            LimitCheck(),
+            self._crash_check,
+        ]
         self._placement = Placement(domain, rng)
         self._budget = RetryBudget(
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window, reactor.seconds()
@@ -96,6 +126,7 @@
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._queues: dict[ServiceName, ServiceQueue] = {}
         self._exchanges: set[Exchange] = set()
+        self._losses: dict[str, _PendingLoss] = {}
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
         self._ticked_at = reactor.seconds()
@@ -160,7 +191,7 @@
             logger.info("invalid request", extra={"cause": str(error), "status": error.status})
             incoming.respond(error.status, [], b"")
             return
-        admission = Admission(head, incoming.arrived_at)
+        admission = Admission(head, incoming.arrived_at, incoming.body)
         if self._rejects_new_requests(now):
             self._answer_refusal(incoming, head, NotRun("this entry is leaving", retry_after=0.0))
             return
@@ -181,10 +212,16 @@
     def reschedule(self, exchange: Exchange) -> bool:
         """Place a failed request on another endpoint, or queue it.
 
-        Returns False if the retry budget is spent, no endpoint can serve the request, or the
-        request has ended.
+        Returns False if endpoints may end under the request, the retry budget is spent, no endpoint
+        can serve the request, or the request has ended.
         """
         now = self.reactor.seconds()
+        standing = self.beliefs.crashes.find_standing(exchange.admission.suspects, now)
+        if standing is Standing.QUARANTINED or (
+            standing is Standing.SUSPECT and exchange.possible_runs
+        ):
+            self.metrics.count("retries_of_suspects")
+            return False
         if not self._budget.try_spend(exchange.service.name, now):
             self.metrics.count("retries_over_budget")
             return False
@@ -205,6 +242,34 @@
         self.metrics.observe("start_seconds", elapsed)
         self.metrics.observe("start_error_seconds", abs(elapsed - predicted))
 
+    def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
+        """Record a lost connection, and judge shortly after whether the endpoint has ended."""
+        record = state.record
+        pool = self._pools.get(record.endpoint)
+        if pool is None:
+            return
+        name = f"{record.endpoint}/{record.born}"
+        loss = self._losses.get(name)
+        if loss is None:
+            loss = self._losses[name] = _PendingLoss(pool, record.service)
+            self.reactor.callLater(LOSS_SETTLE_SECONDS, self._judge_loss, name)
+        if begun:
+            loss.begun.append(exchange.admission.suspects)
+            loss.requests.append(exchange.request)
+
+    def record_survival(self, exchange: Exchange, begun_at: float) -> None:
+        """Clear what a request has in common with others of the suspicion to end endpoints."""
+        now = self.reactor.seconds()
+        self._tell(self.beliefs.record_survival(exchange.admission.suspects, begun_at, now))
+
+    def end_quarantined(self) -> None:
+        """End the requests in quarantine that no endpoint has begun, as far as known."""
+        now = self.reactor.seconds()
+        for exchange in list(self._exchanges):
+            standing = self.beliefs.crashes.find_standing(exchange.admission.suspects, now)
+            if standing is Standing.QUARANTINED:
+                exchange.withdraw(self._crash_check.make_refusal(exchange.admission, now))
+
     def record_end(self, exchange: Exchange, outcome: str) -> None:
         """Remove an ended exchange and dispatch the next queued request of its service."""
         now = self.reactor.seconds()
@@ -239,6 +304,27 @@
         if changed:
             self.refresh()
 
+    def _judge_loss(self, name: str) -> None:
+        """Record the end of an endpoint that has closed all of this entry's connections."""
+        loss = self._losses.pop(name)
+        ended = not loss.pool.connected
+        logger.info(
+            "endpoint lost",
+            extra={"endpoint": name, "ended": ended, "begun": loss.requests},
+        )
+        if ended:
+            self.metrics.count("endpoints_ended")
+            now = self.reactor.seconds()
+            self._tell(self.beliefs.record_crash(name, loss.service, loss.begun, now))
+
+    def _tell(self, message: Message | None) -> None:
+        """Send the peers what has changed in the beliefs, and act on it here."""
+        if message is None:
+            return
+        if self.notify_peers is not None:
+            self.notify_peers(message)
+        self.end_quarantined()
+
     def _rejects_new_requests(self, now: float) -> bool:
         if self.leaving_since is None:
             return False
--- a/src/coltsfootshift/ids.py
+++ b/src/coltsfootshift/ids.py
@@ -19,6 +19,7 @@
     "Revision",
     "Role",
     "ServiceName",
+    "SuspectId",
     "TeamName",
     "TicketId",
     "make_incarnation",
@@ -32,6 +33,7 @@
 TeamName = NewType("TeamName", str)
 RequestId = NewType("RequestId", str)
 PromptPartId = NewType("PromptPartId", str)
+SuspectId = NewType("SuspectId", str)
 TicketId = NewType("TicketId", str)
 Digest = NewType("Digest", str)
 Incarnation = NewType("Incarnation", str)
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -8,9 +8,12 @@
 
 __all__ = [
     "ChunkDigests",
+    "CrashRow",
     "EngineNotice",
     "EntryRow",
     "PublishedVersion",
+    "SuspicionReport",
+    "SuspicionRow",
     "TableChangesRequest",
     "TableItem",
     "TableRevision",
@@ -113,6 +116,36 @@
     sent_at: float
 
 
+class CrashRow(msgspec.Struct, frozen=True, array_like=True):
+    """The end of an endpoint `age` seconds ago, while a request with the digest `request` began."""
+
+    endpoint: str
+    age: float
+    request: bytes
+
+
+class SuspicionRow(msgspec.Struct, frozen=True, array_like=True):
+    """The crashes that are held against one suspect.
+
+    `survived_age` is for how many seconds a request with it has been known to run without a crash,
+    None if there was none lately. `quarantined` is set if a process that has seen enough requests
+    has decided that the suspect causes crashes.
+    """
+
+    suspect: str
+    repeats: bool
+    crashes: list[CrashRow]
+    survived_age: float | None = None
+    quarantined: bool = False
+
+
+class SuspicionReport(Message, frozen=True, array_like=True, tag="g-suspect"):
+    """What the sender knows of requests that may crash endpoints."""
+
+    rows: list[SuspicionRow]
+    sent_at: float
+
+
 class ChunkDigests(Message, frozen=True, array_like=True, tag="g-digests"):
     """The SHA-256 digests of a version's chunks, in order, as obtained from the origin."""
 
--- a/tests/crashing_engines.py
+++ b/tests/crashing_engines.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 
 from gateway_harness import (
@@ -16,10 +17,13 @@
 from twisted.internet.testing import MemoryReactorClock
 from twisted.python.failure import Failure
 
+from coltsfootshift.codec import decode_message, encode_message
+from coltsfootshift.gateway.beliefs import SharedBeliefs
 from coltsfootshift.ids import InstanceId
 
 STEP_SECONDS = 0.02
 EVENT_SECONDS = 0.05
+CONFIRM_SECONDS = 1.0  # the entries trust their tables for longer
 EVENT_COUNT = 14
 RESTART_SECONDS = 3.0
 ENGINE_PORT = 180  # of the first engine of a harness
@@ -56,7 +60,7 @@
     is back `RESTART_SECONDS` later under another name.
     """
 
-    def __init__(self, entries=1, engines=6, crashing=(), seed=1):
+    def __init__(self, entries=1, engines=6, crashing=(), seed=1, linked=True):
         self.clock = MemoryReactorClock()
         self.rng = Random(seed)
         self.crashing = set(crashing)
@@ -67,20 +71,41 @@
         self.arrivals: list[Arrival] = []
         self.crashes: list[float] = []
         self.callers: dict[str, Transport] = {}
+        self.linked = linked
+        self.agent = SharedBeliefs(judges_from=inf)
         self._dial_count = 0
         self._started = 0
+        self._confirm_at = 0.0
+        for harness in self.entries:
+            self._join(harness)
 
     @property
     def now(self) -> float:
         return self.clock.seconds()
 
-    def send(self, parts, entry=None, headers=(), body=b"") -> str:
-        """Send a streaming request with these shared parts of its prompt; return its id."""
+    def restart_entry(self, number):
+        """Replace an entry by a new one, which knows what the others and an agent tell it."""
+        seed = self.rng.random()
+        harness = GatewayHarness(0, 0, seed=seed, clock=self.clock)
+        harness.tables.endpoints.update(self.entries[number].tables.endpoints)
+        harness.gateway.refresh()
+        self.entries[number] = harness
+        self._join(harness)
+        known = [other.gateway.beliefs for other in self.entries if other is not harness]
+        for beliefs in [*known, self.agent] if self.linked else []:
+            for message in beliefs.list_messages(self.now):
+                self._deliver(harness, message)
+
+    def send(self, parts, entry=None, headers=(), body=b"", own=None) -> str:
+        """Send a streaming request with these shared parts of its prompt; return its id.
+
+        `own` is the last part, which is new if none is given.
+        """
         request = f"r-{len(self.callers)}"
         harness = self.entries[
             entry if entry is not None else self.rng.randrange(len(self.entries))
         ]
-        prefix = ",".join(f"{part}:100" for part in (*parts, f"{len(self.callers):08x}"))
+        prefix = ",".join(f"{part}:100" for part in (*parts, own or f"{len(self.callers):08x}"))
         self.callers[request] = harness.send_request(
             "model",
             request=request,
@@ -100,8 +125,10 @@
         while self.now < until - STEP_SECONDS / 2:
             for send in senders:
                 send(self)
-            for harness in self.entries:
-                harness.confirm()
+            if self.now >= self._confirm_at:
+                self._confirm_at = self.now + CONFIRM_SECONDS
+                for harness in self.entries:
+                    harness.confirm()
             self.clock.advance(STEP_SECONDS)
             self._step()
 
@@ -127,6 +154,28 @@
         """Return how many requests with a part have reached engines later than a time."""
         return sum(part in row.parts and row.arrived_at > after for row in self.arrivals)
 
+    def _join(self, harness):
+        harness.gateway.set_entry_count(len(self.entries))
+        if self.linked:
+            harness.gateway.notify_peers = lambda message: self._broadcast(harness, message)
+
+    def _broadcast(self, sender, message):
+        """Deliver a message to the agent and all other entries, and their replies to the sender."""
+        self.agent.receive(decode_message(encode_message(message)), "entry", self.now)
+        for harness in self.entries:
+            if harness is not sender:
+                reply = self._deliver(harness, message)
+                if reply is not None:
+                    self._deliver(sender, reply)
+
+    def _deliver(self, harness, message):
+        """Deliver a message as the node of an entry does; return the reply to its sender."""
+        data = decode_message(encode_message(message))
+        answer = harness.gateway.beliefs.receive(data, "entry", self.now)
+        if answer.relay is not None:
+            harness.gateway.end_quarantined()
+        return answer.reply
+
     def _step(self):
         while self._dial_count < len(self.clock.tcpClients):
             _, port, factory = self.clock.tcpClients[self._dial_count][:3]
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
+from coltsfootshift.gateway.beliefs import BeliefAnswer
 from coltsfootshift.gateway.fleet import (
     ENDPOINTS_REQUEST_TIMEOUT_SECONDS,
     ENTRIES_PER_AGENT,
@@ -33,6 +34,7 @@
     EntryList,
     EntryRow,
     Hello,
+    SuspicionReport,
     TableChanges,
     TableChangesRequest,
     TableItem,
@@ -304,3 +306,34 @@
     fleet.start()
     clock.pump(steps)
     assert fleet._roster.count_live() == live
+
+
+class BeliefObserver(Observer):
+    """Knows one report; everything that it receives is news unless `known` is set."""
+
+    def __init__(self, known=False):
+        super().__init__()
+        self.known = known
+
+    def list_beliefs(self):
+        return [SuspicionReport([], 1.0)]
+
+    def belief_received(self, message, peer):
+        relay = None if self.known else SuspicionReport([], 2.0)
+        return BeliefAnswer(relay, reply=SuspicionReport([], 3.0))
+
+
+@pytest.mark.parametrize("known", [False, True], ids=["news", "known"])
+def test_what_crashes_endpoints_is_told_to_new_peers_and_passed_on(clock, known):
+    """An entry that restarts or joins learns it at once, and one without a stream to the sender."""
+    address = Address("10.0.0.1", 1)
+    tables, roster = TableCache(NullDecoder()), Roster(make_row())
+    observer = BeliefObserver(known)
+    fleet = FleetTask(Context(clock), tables, roster, [], address, observer, Random(1))
+    first, second = Stream(), Stream(peer_id="side-1", role=Role.AGENT)
+    for stream in (first, second):
+        fleet.stream_opened(stream)
+        assert SuspicionReport([], 1.0) in stream.sent
+    fleet.stream_received(first, SuspicionReport([], 0.0))
+    assert SuspicionReport([], 3.0) in first.sent and SuspicionReport([], 2.0) not in first.sent
+    assert (SuspicionReport([], 2.0) in second.sent) is not known
