--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -93,7 +93,8 @@
     `not_run` is set only if the endpoint itself states that the request has not run. `sealed`
     is set if the response carries the endpoint's seal, `encoded` if its content is encoded, for
     example compressed. `framed` is set if the body has a length or chunks, so that its end does not
-    depend on that of the connection. `keep_alive` is in seconds, or None if the endpoint sent none.
+    depend on that of the connection. `rate_limit` is how many requests a second the endpoint takes
+    from all entries together, None if it names no limit. `keep_alive` is in seconds, or None if the endpoint sent none.
     """
 
     status: int
@@ -103,6 +104,7 @@
     encoded: bool
     framed: bool
     load: EndpointLoadReport | None
+    rate_limit: float | None
     keep_alive: float | None
     version: int | None
     forwarded_headers: Headers
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -49,6 +49,10 @@
     def record_response_start(self, predicted: float, elapsed: float) -> None:
         """Record the time from sending to the start of a response body, in seconds."""
 
+    @abstractmethod
+    def record_limit(self, state: EndpointState, head: ResponseHead) -> None:
+        """Record whether an endpoint names a limit in a response."""
+
     @abstractmethod
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record that the connection of an attempt ended before its response was complete.
@@ -217,6 +221,7 @@
         now = self._owner.reactor.seconds()
         attempt.last_received_at = attempt.progressed_at = attempt.begun_at = now
         attempt.state.record_response_start(self.request, head.load, now)
+        self._owner.record_limit(attempt.state, head)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
             return
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -56,6 +56,7 @@
     def __init__(self, record: EndpointRecord, spec: EngineSpec | None) -> None:
         self.record = record
         self.spec = spec
+        self.rate_limit: float | None = None  # requests a second, as the endpoint last named it
         self.failure_rate = 0.0
         self.backoff_until = 0.0
         self._in_flight: dict[RequestId, _InFlightAttempt] = {}
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -14,7 +14,13 @@
 from coltsfootshift.gateway.beliefs import SharedBeliefs
 from coltsfootshift.gateway.budget import RetryBudget
 from coltsfootshift.gateway.callers import IncomingRequest, RequestHandler
-from coltsfootshift.gateway.calls import AttemptTerms, Dialect, RequestError, RequestHead
+from coltsfootshift.gateway.calls import (
+    AttemptTerms,
+    Dialect,
+    RequestError,
+    RequestHead,
+    ResponseHead,
+)
 from coltsfootshift.gateway.checks import (
     Admission,
     Check,
@@ -242,6 +248,14 @@
         self.metrics.observe("start_seconds", elapsed)
         self.metrics.observe("start_error_seconds", abs(elapsed - predicted))
 
+    def record_limit(self, state: EndpointState, head: ResponseHead) -> None:
+        """Log a limit that an endpoint names, changes or no longer names."""
+        if head.rate_limit == state.rate_limit:
+            return
+        state.rate_limit = head.rate_limit
+        row = {"endpoint": state.record.endpoint, "limit": head.rate_limit}
+        logger.info("endpoint limit changed", extra=row)
+
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record a lost connection, and judge shortly after whether the endpoint has ended."""
         record = state.record
@@ -426,6 +440,7 @@
                 "predicted": round(state.predict_start(exchange.size, now), 3),
                 "version": served,
                 "min_version": min_version,
+                "limit": state.rate_limit,
                 "parts": head.shared_parts,
             },
         )
--- a/tests/crashing_engines.py
+++ b/tests/simulated_engines.py
@@ -53,7 +53,7 @@
     running: list[Arrival] = field(default_factory=list)
 
 
-class CrashingEngines:
+class SimulatedEngines:
     """Simulated engines, the gateways before them and the callers that send them requests.
 
     An engine ends one event after it has begun to answer a prompt with a part of `crashing`. It
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -5,7 +5,7 @@
 from math import inf
 
 import pytest
-from crashing_engines import COMMON_PART, RESTART_SECONDS, CrashingEngines, make_sender
+from simulated_engines import COMMON_PART, RESTART_SECONDS, SimulatedEngines, make_sender
 
 from coltsfootshift.controllers.quarantine import Standing
 from coltsfootshift.gateway.crashes import (
@@ -60,7 +60,7 @@
 @pytest.mark.parametrize("seed", range(4))
 @pytest.mark.parametrize("entries", [1, 4])
 def test_part_of_a_prompt_that_ends_engine_after_engine_is_not_sent_on(entries, seed):
-    group = CrashingEngines(entries, crashing=[BAD_PART], seed=seed)
+    group = SimulatedEngines(entries, crashing=[BAD_PART], seed=seed)
     sound, bad = [], []
     group.run(2.0, [make_sender(12, draw_sound, sound)])
     group.run(25.0, [make_sender(12, draw_sound, sound), make_sender(3, draw_bad, bad)])
@@ -76,7 +76,7 @@
 @pytest.mark.parametrize("seed", range(2))
 def test_restarted_entry_does_not_send_what_ends_engines(restarted, seed):
     """Agents keep what is known, so that the restart of all entries does not lose it."""
-    group = CrashingEngines(4, crashing=[BAD_PART], seed=seed)
+    group = SimulatedEngines(4, crashing=[BAD_PART], seed=seed)
     sound, bad = [], []
     group.run(15.0, [make_sender(12, draw_sound, sound), make_sender(3, draw_bad, bad)])
     for number in restarted:
@@ -89,7 +89,7 @@
 @pytest.mark.parametrize("seed", range(2))
 def test_request_that_ends_engine_after_engine_is_not_sent_on(seed):
     """The same request from the same caller, at any entry."""
-    group = CrashingEngines(4, crashing=[BAD_REQUEST], seed=seed)
+    group = SimulatedEngines(4, crashing=[BAD_REQUEST], seed=seed)
     sound = []
 
     def repeat(current):
@@ -110,7 +110,7 @@
 )
 @pytest.mark.parametrize("seed", range(2))
 def test_crashes_of_another_cause_are_held_against_no_request(draw, at_once, count, pause, seed):
-    group = CrashingEngines(4, seed=seed)
+    group = SimulatedEngines(4, seed=seed)
     sound = []
     sender = make_sender(25, draw, sound)
     group.run(3.0, [sender])
@@ -130,7 +130,7 @@
 
 @pytest.mark.parametrize("seed", range(2))
 def test_waiting_requests_with_the_part_are_refused_as_soon_as_it_is_quarantined(seed):
-    group = CrashingEngines(2, engines=3, crashing=[BAD_PART], seed=seed)
+    group = SimulatedEngines(2, engines=3, crashing=[BAD_PART], seed=seed)
     sound, bad = [], []
     group.run(12.0, [make_sender(40, draw_sound, sound), make_sender(6, draw_bad, bad)])
     known_at = max(row.arrived_at for row in group.arrivals if BAD_PART in row.parts)
