--- a/tests/simulated_engines.py
+++ b/tests/simulated_engines.py
@@ -1,4 +1,7 @@
-"""Drives gateways against simulated model engines that end when a prompt holds a certain part."""
+"""Drives gateways against simulated model engines.
+
+They end when a prompt holds a certain part, and may name a limit in their answers.
+"""
 
 from __future__ import annotations
 
@@ -38,6 +41,7 @@
     parts: tuple[str, ...]
     arrived_at: float
     transport: Transport
+    port: int
     begun_at: float | None = None
     events: int = 0
 
@@ -70,6 +74,7 @@
         self.engines = {ENGINE_PORT + n: Engine(ENGINE_PORT + n, n) for n in range(engines)}
         self.arrivals: list[Arrival] = []
         self.crashes: list[float] = []
+        self.limits: dict[int, float] = {}
         self.callers: dict[str, Transport] = {}
         self.linked = linked
         self.agent = SharedBeliefs(judges_from=inf)
@@ -150,6 +155,15 @@
         """Return how many of the requests got a whole answer."""
         return sum(self.callers[name].value().endswith(b"0\r\n\r\n") for name in requests)
 
+    def find_most_arrivals(self, port, start, end, seconds):
+        """Return the most requests that reached an engine in `seconds` within a span of time."""
+        times = [row.arrived_at for row in self.arrivals if row.port == port]
+        times = [at for at in times if start <= at <= end]
+        most = 0
+        for at in times:
+            most = max(most, sum(at <= other < at + seconds for other in times))
+        return most
+
     def sent_to_engines(self, part, after=0.0) -> int:
         """Return how many requests with a part have reached engines later than a time."""
         return sum(part in row.parts and row.arrived_at > after for row in self.arrivals)
@@ -213,7 +227,7 @@
         fields = dict(line.split(": ", 1) for line in lines[1:] if ": " in line)
         fields = {name.lower(): value for name, value in fields.items()}
         parts = tuple(row.split(":")[0] for row in fields["x-prompt-prefix"].split(","))
-        arrival = Arrival(fields["x-attempt-id"], parts, self.now, transport)
+        arrival = Arrival(fields["x-attempt-id"], parts, self.now, transport, engine.port)
         self.arrivals.append(arrival)
         engine.running.append(arrival)
 
@@ -226,6 +240,8 @@
                 "Content-Type: text/event-stream",
                 f"X-Engine-Load: {len(engine.running)},0,16",
             )
+            if engine.port in self.limits:
+                headers += (f"Server-Limit: {self.limits[engine.port]}",)
             head = make_response(chunked=True, request=arrival.request, headers=headers)
             protocol.dataReceived(head + make_chunk(make_event(1)))
             arrival.events = 1
