Keep to the limit that an endpoint names, with all entries together

Cause: the header was not read, and nothing in placement knew a rate. Each entry that kept to the whole limit by itself would have exceeded it by the number of entries.

Now the latest limit that any process has heard of an endpoint is shared as suspicions are: told at once when it changes, again every 3 s while it is confirmed, to new peers, kept by agents, dropped after 12 s without confirmation. Each entry spaces its sends at its share, and counts the limit in how soon a place is expected, so that what finds none is refused at once. A share of less than a request a second would let many entries send one each at the same time; so a limit of n requests a second is divided among n entries, which all derive from the roster.

Tests: the failing ones (1, 4 and 16 entries, limits from 0 to 4 a second), restarted entries, a limit that is lifted, one limited endpoint among others.

--- a/src/coltsfootshift/gateway/beliefs.py
+++ b/src/coltsfootshift/gateway/beliefs.py
@@ -12,10 +12,13 @@
     Suspect,
     Suspicion,
 )
+from coltsfootshift.gateway.endpoint_limits import EndpointLimits, NamedLimit
 from coltsfootshift.ids import ServiceName, SuspectId
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
     CrashRow,
+    EndpointLimitReport,
+    EndpointLimitRow,
     Message,
     SuspicionReport,
     SuspicionRow,
@@ -44,14 +47,31 @@
 
     def __init__(self, judges_from: float = -inf) -> None:
         self.crashes = CrashEvidence(judges_from)
+        self.limits = EndpointLimits()
 
     def __repr__(self) -> str:
-        return f"SharedBeliefs({self.crashes!r})"
+        return f"SharedBeliefs({self.crashes!r}, {self.limits!r})"
 
     def list_messages(self, now: float) -> list[Message]:
         """Return messages that tell everything to a new peer."""
+        messages: list[Message] = []
         report = self._make_report([item.suspect for item in self.crashes.list_all(now)], now)
-        return [report] if report is not None else []
+        if report is not None:
+            messages.append(report)
+        limits = self.limits.list_all()
+        if limits:
+            messages.append(_make_limit_report(limits, now))
+        return messages
+
+    def record_limit(self, endpoint: str, rate: float | None, now: float) -> Message | None:
+        """Record what an endpoint names in a response; return what the peers have to know."""
+        limit = NamedLimit(endpoint, rate, now)
+        changed = self.limits.record(limit)
+        if changed:
+            self._log_limit(limit, "here", now)
+        if changed or self.limits.claim_confirmation(endpoint, now):
+            return _make_limit_report([limit], now)
+        return None
 
     def record_crash(
         self,
@@ -73,8 +93,27 @@
         self._log_changes(cleared, "here", now)
         return self._make_report(cleared, now)
 
-    def receive(self, message: SuspicionReport, source: str, now: float) -> BeliefAnswer:
+    def receive(self, message: Message, source: str, now: float) -> BeliefAnswer:
         """Merge what a peer has told."""
+        if isinstance(message, EndpointLimitReport):
+            return self._receive_limits(message, source, now)
+        assert isinstance(message, SuspicionReport)
+        return self._receive_suspicions(message, source, now)
+
+    def _receive_limits(
+        self, message: EndpointLimitReport, source: str, now: float
+    ) -> BeliefAnswer:
+        changed = []
+        for row in message.rows:
+            limit = NamedLimit(row.endpoint, row.rate, now - max(0.0, row.age))
+            if self.limits.record(limit):
+                self._log_limit(limit, source, now)
+                changed.append(limit)
+        return BeliefAnswer(relay=_make_limit_report(changed, now) if changed else None)
+
+    def _receive_suspicions(
+        self, message: SuspicionReport, source: str, now: float
+    ) -> BeliefAnswer:
         news, known_better = [], []
         for row in message.rows:
             suspect = SuspectId(row.suspect)
@@ -113,6 +152,11 @@
             suspicion.quarantined,
         )
 
+    def _log_limit(self, limit: NamedLimit, source: str, now: float) -> None:
+        row = {"endpoint": limit.endpoint, "limit": limit.rate}
+        age = round(now - limit.at, 3)
+        logger.info("endpoint limit changed", extra={**row, "age": age, "source": source})
+
     def _log_changes(self, suspects: list[SuspectId], source: str, now: float) -> None:
         """Log changed suspicions; those without crashes have been cleared."""
         for suspect in suspects:
@@ -132,3 +176,8 @@
     survived_at = -inf if row.survived_age is None else now - max(0.0, row.survived_age)
     suspect = SuspectId(row.suspect)
     return Suspicion(suspect, row.repeats, crashes, survived_at, row.quarantined)
+
+
+def _make_limit_report(limits: Iterable[NamedLimit], now: float) -> EndpointLimitReport:
+    rows = [EndpointLimitRow(item.endpoint, item.rate, now - item.at) for item in limits]
+    return EndpointLimitReport(rows, now)
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -15,6 +15,7 @@
 from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
+    EndpointLimitReport,
     EngineNotice,
     EntryList,
     EntryRow,
@@ -65,7 +66,7 @@
         """Return messages that tell a new peer what this process knows of endpoints."""
         return []
 
-    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
+    def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
         """Merge what a peer knows of endpoints."""
         return BeliefAnswer()
 
@@ -186,12 +187,12 @@
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
             self._observer.engine_status_received(message)
-        elif isinstance(message, SuspicionReport):
+        elif isinstance(message, (SuspicionReport, EndpointLimitReport)):
             self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
 
-    def _receive_belief(self, stream: PeerStream, message: SuspicionReport) -> None:
+    def _receive_belief(self, stream: PeerStream, message: Message) -> None:
         """Merge a report and pass on what was news: not all processes are connected."""
         answer = self._observer.belief_received(message, stream.peer_id)
         if answer.reply is not None:
--- a/src/coltsfootshift/gateway/model.py
+++ b/src/coltsfootshift/gateway/model.py
@@ -170,3 +170,8 @@
     born: int = 0
     versions: Mapping[str, int] = field(default_factory=dict)
     loading: bool = False
+
+    @property
+    def incarnation(self) -> str:
+        """The name of this start of the endpoint."""
+        return f"{self.endpoint}/{self.born}"
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -45,7 +45,7 @@
 )
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.logs import get_logger, set_up_bounded_logs
-from coltsfootshift.messages import EngineNotice, Hello, Message, SuspicionReport
+from coltsfootshift.messages import EngineNotice, Hello, Message
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address, StreamTiming
 from coltsfootshift.streams import StreamContext, StreamListener
@@ -198,7 +198,7 @@
         """
         return self.beliefs.list_messages(self.reactor.seconds())
 
-    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
+    def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
         """Merge what a peer knows of endpoints."""
         return self.beliefs.receive(message, peer, self.reactor.seconds())
 
@@ -321,8 +321,9 @@
         self._publish_readiness()
 
     def roster_changed(self) -> None:
-        """Divide connections and the retry budget among the live entries."""
-        self.gateway.set_entry_count(self.roster.count_live())
+        """Divide connections, limits and the retry budget among the live entries."""
+        names = [row.instance for row in self.roster.list_rows()]
+        self.gateway.set_entries(self.config.instance, names)
 
     def engine_status_received(self, notice: EngineNotice) -> None:
         """Apply an agent's report of its engine, which arrives before the store's record."""
@@ -334,10 +335,11 @@
         """Return when this entry has seen for long enough what is served."""
         return self.reactor.seconds() + SURVIVAL_MEMORY_SECONDS
 
-    def belief_received(self, message: SuspicionReport, peer: InstanceId) -> BeliefAnswer:
-        """Merge what a peer knows of endpoints, and end the requests that it puts in quarantine."""
+    def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
+        """Merge what a peer knows of endpoints, and act on it."""
         answer = super().belief_received(message, peer)
         if answer.relay is not None:
+            self.gateway.apply_limits()
             self.gateway.end_quarantined()
         return answer
 
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -7,6 +7,7 @@
 from random import Random
 
 from coltsfootshift.gateway.calls import EndpointLoadReport
+from coltsfootshift.gateway.endpoint_limits import RateShare
 from coltsfootshift.gateway.model import EndpointRecord, EngineSpec
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId
 
@@ -56,7 +57,8 @@
     def __init__(self, record: EndpointRecord, spec: EngineSpec | None) -> None:
         self.record = record
         self.spec = spec
-        self.rate_limit: float | None = None  # requests a second, as the endpoint last named it
+        self.rate_limit: float | None = None
+        self._rate_share: RateShare | None = None
         self.failure_rate = 0.0
         self.backoff_until = 0.0
         self._in_flight: dict[RequestId, _InFlightAttempt] = {}
@@ -84,6 +86,24 @@
         """The measured mean time of a request at a plain service, in seconds."""
         return self._work_seconds
 
+    def limit_rate(self, limit: float | None, share: float, now: float) -> None:
+        """Set the limit for all entries and this entry's share, in requests a second."""
+        self.rate_limit = limit
+        if limit is None:
+            self._rate_share = None
+        elif self._rate_share is None:
+            self._rate_share = RateShare(share, now)
+        else:
+            self._rate_share.set_rate(share, now)
+
+    def compute_departure_rate(self) -> float:
+        """Return how many requests a second the endpoint completes for all entries, when busy."""
+        if self.spec is not None:
+            rate = 1.0 / compute_departure_interval(self.spec)
+        else:
+            rate = self.slots / max(0.001, self._work_seconds)
+        return rate if self.rate_limit is None else min(rate, self.rate_limit)
+
     def estimate_load(self, now: float) -> float:
         """Return the estimated number of requests at the endpoint, of all entries."""
         age = now - self._reported_at
@@ -98,6 +118,8 @@
         """
         if now < self.backoff_until or (self._probing and self._in_flight):
             return False
+        if self._rate_share is not None and not self._rate_share.has_room(now):
+            return False
         limit = self.slots if self.spec else self.slots * PLAIN_QUEUE_FACTOR
         if late:
             limit *= LATE_CAPACITY_SHARE
@@ -120,6 +142,8 @@
     def record_sent(self, request: RequestId, size: WorkSize, now: float) -> None:
         """Count a request that was sent to the endpoint."""
         self._in_flight[request] = _InFlightAttempt(size, now)
+        if self._rate_share is not None:
+            self._rate_share.spend(now)
 
     def record_response_start(
         self, request: RequestId, report: EndpointLoadReport | None, now: float
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from math import isfinite
 from random import Random
@@ -31,10 +31,11 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.crashes import Suspect
+from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
-from coltsfootshift.gateway.placement import EndpointState, Placement, compute_departure_interval
+from coltsfootshift.gateway.placement import EndpointState, Placement
 from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
@@ -57,6 +58,7 @@
 ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
+MIN_DEPARTURE_RATE = 0.01  # of a service whose endpoints name a limit of zero
 
 logger = get_logger("gateway")
 
@@ -135,6 +137,8 @@
         self._losses: dict[str, _PendingLoss] = {}
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
+        self._own = InstanceId("")
+        self._entries: tuple[str, ...] = (self._own,)
         self._ticked_at = reactor.seconds()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -164,12 +168,20 @@
         """The number of requests in flight or queued."""
         return len(self._exchanges)
 
-    def set_entry_count(self, count: int) -> None:
-        """Set how many entries share the endpoints' connections and the retry budget."""
-        self._entry_count = max(1, count)
+    def set_entries(self, own: str, entries: Sequence[str]) -> None:
+        """Set which entries, with this one, share the endpoints and the retry budget."""
+        self._own, self._entries = InstanceId(own), tuple(entries)
+        self._entry_count = max(1, len(entries))
         self._budget.set_entry_count(self._entry_count)
+        self.apply_limits()
         self.refresh()
 
+    def apply_limits(self) -> None:
+        """Divide the known limits of endpoints among the entries anew."""
+        now = self.reactor.seconds()
+        for state in self._states.values():
+            self._apply_limit(state, now)
+
     def refresh(self) -> None:
         """Rebuild the routing state from the cached tables."""
         by_service: dict[ServiceName, list[EndpointState]] = {}
@@ -249,12 +261,14 @@
         self.metrics.observe("start_error_seconds", abs(elapsed - predicted))
 
     def record_limit(self, state: EndpointState, head: ResponseHead) -> None:
-        """Log a limit that an endpoint names, changes or no longer names."""
-        if head.rate_limit == state.rate_limit:
-            return
-        state.rate_limit = head.rate_limit
-        row = {"endpoint": state.record.endpoint, "limit": head.rate_limit}
-        logger.info("endpoint limit changed", extra=row)
+        """Keep to the limit that an endpoint names, from its next request on."""
+        if head.rate_limit is None and not head.succeeded:
+            return  # a rejection need not name the limit that the endpoint has
+        now = self.reactor.seconds()
+        message = self.beliefs.record_limit(state.record.incarnation, head.rate_limit, now)
+        if message is not None and self.notify_peers is not None:
+            self.notify_peers(message)
+        self._apply_limit(state, now)
 
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record a lost connection, and judge shortly after whether the endpoint has ended."""
@@ -262,7 +276,7 @@
         pool = self._pools.get(record.endpoint)
         if pool is None:
             return
-        name = f"{record.endpoint}/{record.born}"
+        name = record.incarnation
         loss = self._losses.get(name)
         if loss is None:
             loss = self._losses[name] = _PendingLoss(pool, record.service)
@@ -339,6 +353,15 @@
             self.notify_peers(message)
         self.end_quarantined()
 
+    def _apply_limit(self, state: EndpointState, now: float) -> None:
+        limit = self.beliefs.limits.get_rate(state.record.incarnation)
+        if limit is None and state.rate_limit is None:
+            return
+        share = 0.0
+        if limit is not None:
+            share = compute_share(limit, state.record.endpoint, self._own, self._entries)
+        state.limit_rate(limit, share, now)
+
     def _rejects_new_requests(self, now: float) -> bool:
         if self.leaving_since is None:
             return False
@@ -356,6 +379,7 @@
         if state is None:
             state = EndpointState(record, spec.engine)
             self._states[name] = state
+            self._apply_limit(state, self.reactor.seconds())
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
             )
@@ -490,13 +514,8 @@
 
     def _compute_slot_interval(self, states: list[EndpointState]) -> float:
         """Return the expected seconds between two slots that become free for this entry."""
-        rate = 0.0
-        for state in states:
-            if state.spec is not None:
-                rate += 1.0 / compute_departure_interval(state.spec)
-            else:
-                rate += state.slots / max(0.001, state.work_seconds)
-        return self._entry_count / rate
+        rate = sum(state.compute_departure_rate() for state in states)
+        return self._entry_count / max(MIN_DEPARTURE_RATE, rate)
 
     def _tick(self) -> None:
         now = self.reactor.seconds()
@@ -512,6 +531,8 @@
                 exchange.withdraw_outdated(min_version, now)
         for pool in self._pools.values():
             pool.close_expired()
+        if self.beliefs.limits.remove_expired(now):
+            self.apply_limits()
         if self.tables.remove_expired(now):
             self.refresh()
         self._dispatch_all_queues()
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -23,6 +23,8 @@
 from coltsfootshift.messages.gateway import (
     ChunkDigests,
     CrashRow,
+    EndpointLimitReport,
+    EndpointLimitRow,
     EngineNotice,
     EntryList,
     EntryRow,
@@ -86,6 +88,8 @@
     "Difference",
     "ChunkDigests",
     "CrashRow",
+    "EndpointLimitReport",
+    "EndpointLimitRow",
     "EngineNotice",
     "EntryRow",
     "Fallbacks",
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -9,6 +9,8 @@
 __all__ = [
     "ChunkDigests",
     "CrashRow",
+    "EndpointLimitReport",
+    "EndpointLimitRow",
     "EngineNotice",
     "EntryRow",
     "PublishedVersion",
@@ -146,6 +148,21 @@
     sent_at: float
 
 
+class EndpointLimitRow(msgspec.Struct, frozen=True, array_like=True):
+    """What an endpoint has named `age` seconds ago: requests a second, None for no limit."""
+
+    endpoint: str
+    rate: float | None
+    age: float
+
+
+class EndpointLimitReport(Message, frozen=True, array_like=True, tag="g-limits"):
+    """The limits that the sender has heard from endpoints."""
+
+    rows: list[EndpointLimitRow]
+    sent_at: float
+
+
 class ChunkDigests(Message, frozen=True, array_like=True, tag="g-digests"):
     """The SHA-256 digests of a version's chunks, in order, as obtained from the origin."""
 
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -143,9 +143,10 @@
         self.clock = MemoryReactorClock()
         self.model_engines = [ModelEngine(number) for number in range(self.engines)]
         self.harnesses = []
+        names = [str(number) for number in range(self.gateways)]
         for number in range(self.gateways):
             harness = GatewayHarness(0, self.engines, seed=number, clock=self.clock)
-            harness.gateway.set_entry_count(self.gateways)
+            harness.gateway.set_entries(str(number), names)
             self.harnesses.append(harness)
         self._dial_count = 0
         self._connections: list[tuple[Transport, int]] = []
--- a/tests/simulated_engines.py
+++ b/tests/simulated_engines.py
@@ -169,7 +169,8 @@
         return sum(part in row.parts and row.arrived_at > after for row in self.arrivals)
 
     def _join(self, harness):
-        harness.gateway.set_entry_count(len(self.entries))
+        names = [str(number) for number in range(len(self.entries))]
+        harness.gateway.set_entries(str(self.entries.index(harness)), names)
         if self.linked:
             harness.gateway.notify_peers = lambda message: self._broadcast(harness, message)
 
@@ -187,6 +188,7 @@
         data = decode_message(encode_message(message))
         answer = harness.gateway.beliefs.receive(data, "entry", self.now)
         if answer.relay is not None:
+            harness.gateway.apply_limits()
             harness.gateway.end_quarantined()
         return answer.reply
 
