--- a/src/coltsfootshift/gateway/beliefs.py
+++ b/src/coltsfootshift/gateway/beliefs.py
@@ -105,6 +105,9 @@
     ) -> BeliefAnswer:
         changed = []
         for row in message.rows:
+            if row.rate is not None and not 0 <= row.rate < inf:
+                logger.warning("limit ignored", extra={"limit": row.rate, "source": source})
+                continue
             limit = NamedLimit(row.endpoint, row.rate, now - max(0.0, row.age))
             if self.limits.record(limit):
                 self._log_limit(limit, source, now)
--- a/src/coltsfootshift/gateway/endpoint_limits.py
+++ b/src/coltsfootshift/gateway/endpoint_limits.py
@@ -17,7 +17,7 @@
 MIN_RATE = 0.25
 EXPIRY_SECONDS = 12.0  # three requests at the lowest rate without a response that names the limit
 CONFIRM_SECONDS = 3.0  # peers are told of an unchanged limit this often, so that it stays valid
-BURST_REQUESTS = 1.0
+BURST_REQUESTS = 1.5
 MAX_LIMITS = 8192
 
 
--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -4,6 +4,7 @@
 
 import tracemalloc
 from enum import Enum
+from types import NoneType, UnionType
 from typing import Any, get_args, get_origin, get_type_hints
 
 import msgpack
@@ -25,6 +26,7 @@
     int: INTEGERS,
     float: st.floats(allow_nan=False),
     bool: st.booleans(),
+    NoneType: st.none(),
 }
 
 
@@ -33,6 +35,8 @@
         return SCALARS[kind]
     if get_origin(kind) is list:
         return st.lists(make_strategy(*get_args(kind)), max_size=8)
+    if isinstance(kind, UnionType):
+        return st.one_of([make_strategy(choice) for choice in get_args(kind)])
     if isinstance(kind, type) and issubclass(kind, Enum):
         return st.sampled_from(kind)
     hints = get_type_hints(kind)
