Send a request again to an endpoint on another connection than before

What callers could see: a request that had run, or was running, answered as not run (REFUSED), or run at a second engine (TWICE).

Cause: a request that an endpoint has refused may be sent to it again, on the connection that the refusal left open and under the same id. If the endpoint then wrote its earlier refusal once more, that was taken for the refusal of the second attempt, although it had begun to run. The id, which tells answers of different requests apart, does not tell attempts apart.

A second attempt at an endpoint now uses another connection, as requests that may not run twice did before; a repeated refusal is then one that nobody waits for, and ends its connection.

Test: six of seven rows failed before (read, resumable and other streams); requests that may not run twice passed.

--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -468,8 +468,11 @@
                 "parts": head.shared_parts,
             },
         )
+        # A refusal that the endpoint writes again must not be taken for that of this attempt.
+        new_connection = (
+            exchange.route.kind is RouteKind.NON_IDEMPOTENT or record.endpoint in exchange.tried
+        )
         receiver = exchange.start_attempt(state)
-        new_connection = exchange.route.kind is RouteKind.NON_IDEMPOTENT
         outbound = self._pools[record.endpoint].send(
             head.method, head.target, headers, body, exchange.request, receiver, new_connection
         )
