End a begun stream as broken if the next engine answers with an error

Cause: a stream that broke off is resumed at another engine; an answer of that engine that was no success was buffered like one that begins, and its body was written after the events.

Such an answer now fails the attempt: the stream is resumed once more if attempts are left, else its connection ends, so that the caller sees that it is not complete.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -231,6 +231,9 @@
         if head.status in NOT_RUN_STATUSES:
             self._fail_attempt(attempt, f"status {head.status} that may have run", now)
             return
+        if self.response_started and not head.succeeded:
+            self._fail_attempt(attempt, f"status {head.status} in place of the rest", now)
+            return
         if head.succeeded and self._is_streaming and not self.response_started:
             self.version = head.version
             self.incoming.start_stream(head.status, head.forwarded_headers)
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import pytest
-from gateway_harness import GatewayHarness, make_response
+from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
+from twisted.internet.error import ConnectionLost
 
 REFUSAL = make_response(status=503, headers=("X-Not-Executed: 1",), sealed=False)
 WHOLE = make_response(b"whole")
@@ -43,3 +44,33 @@
     if endpoint.value():
         endpoint.protocol.dataReceived(REFUSAL)
         assert endpoint.aborted and read_status(caller) not in (503, 429)
+
+
+ERRORS = {
+    "error": make_response(b"error text", status=500),
+    "own refusal, sealed": make_response(b"error text", status=404),
+    "chunked error": make_response(status=500, chunked=True)
+    + make_chunk(b"error text")
+    + make_chunk(b""),
+    "unmarked refusal": make_response(b"error text", status=503),
+    "unsealed error": make_response(b"error text", status=500, sealed=False),
+    "long error": make_response(b"error text" * 200_000, status=500),
+    "head as body": make_response(b"HTTP/1.1 500 X\r\n\r\nerror text", status=500),
+    "not run": make_response(b"error text", status=503, headers=("X-Not-Executed: 1",)),
+}
+
+
+@pytest.mark.parametrize("answer", ERRORS.values(), ids=ERRORS.keys())
+def test_error_of_the_next_engine_does_not_reach_a_stream_that_has_begun(answer):
+    """The stream ends as broken, so that its caller does not take it for complete."""
+    harness = GatewayHarness(endpoints=2)
+    caller = harness.send_request("talk")
+    first = harness.accept()
+    first.protocol.dataReceived(make_response(chunked=True) + make_chunk(make_event(1)))
+    first.disconnect(ConnectionLost())
+    second = harness.accept()
+    second.protocol.dataReceived(answer)
+    for _ in range(100):
+        harness.clock.advance(0.02)
+    assert caller.value().count(b"HTTP/1.1") == 1 and b"error text" not in caller.value()
+    assert caller.aborted and not caller.value().endswith(b"0\r\n\r\n")
