Take a success that ends with its connection before its body for broken

Cause: an answer without a length or chunks ends with its connection. If the endpoint closes after the head, nothing shows that a body was to follow; the empty answer was passed on as complete. Such an answer is now tried again where that is allowed, else reported as unknown.

Looked at and found sound: an endpoint that closes in the middle of its head (64 rows: eight places, four kinds of route, closed and reset), and streams that end with their connection (inside an event, reset, whole).

Test: three rows failed before (both kinds of stream, plain).

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -277,6 +277,10 @@
         assert head is not None
         if head.not_run or head.status == STATUS_MISDIRECTED:
             return
+        if self._lacks_body(attempt, head):
+            self._record_loss(attempt)
+            self._fail_attempt(attempt, "the connection ended after the head", now)
+            return
         if self._is_streaming and head.succeeded:
             if not self._event_buffer.at_event_boundary:
                 self._record_loss(attempt)
@@ -334,6 +338,12 @@
         else:
             self._owner.send_refusal(self, outcome)
 
+    def _lacks_body(self, attempt: _Attempt, head: ResponseHead) -> bool:
+        """Return whether a success ended with its connection before any of its body came."""
+        if not head.succeeded or head.framed or attempt.body_started:
+            return False
+        return self.admission.head.method != b"HEAD"
+
     def _record_survival(self, attempt: _Attempt) -> None:
         if attempt.survived or attempt.begun_at is None:
             return
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -4,16 +4,23 @@
 
 import pytest
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
-from twisted.internet.error import ConnectionLost
+from twisted.internet.error import ConnectionDone, ConnectionLost
 
 REFUSAL = make_response(status=503, headers=("X-Not-Executed: 1",), sealed=False)
 WHOLE = make_response(b"whole")
+UNFRAMED = make_response(b"").replace(b"Content-Length: 0\r\n", b"")
+CUTS = [len(b"HTTP/1.1 200 X"), WHOLE.index(b"Attempt"), WHOLE.index(b"seal-1") + 3]
+CUTS += [WHOLE.index(b"5\r\n\r\n") + size for size in range(5)]
 
 
 def read_status(caller) -> int:
     return int(caller.value().split(b" ", 2)[1]) if caller.value() else 0
 
 
+def read_body(caller) -> bytes:
+    return caller.value().partition(b"\r\n\r\n")[2]
+
+
 @pytest.mark.parametrize("route", ["read", "book", "once", "talk"])
 def test_refusal_that_is_written_again_is_not_taken_for_that_of_the_next_attempt(route):
     """The same request may be sent again to the endpoint that refused it, under the same id."""
@@ -74,3 +81,67 @@
         harness.clock.advance(0.02)
     assert caller.value().count(b"HTTP/1.1") == 1 and b"error text" not in caller.value()
     assert caller.aborted and not caller.value().endswith(b"0\r\n\r\n")
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once"])
+@pytest.mark.parametrize("cut", CUTS)
+@pytest.mark.parametrize("error", [ConnectionDone(), ConnectionLost()])
+def test_endpoint_that_closes_in_the_middle_of_a_head_has_not_answered(route, cut, error):
+    """The head alone must not reach the caller as a success with an empty body."""
+    harness = GatewayHarness(endpoints=1)
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(WHOLE[:cut])
+    endpoint.disconnect(error)
+    for _ in range(60):
+        harness.clock.advance(0.02)
+    assert b" 200 " not in caller.value() or not caller.value().endswith(b"0\r\n\r\n")
+    assert b"HTTP/1.1 200" not in caller.value() or caller.aborted
+
+
+@pytest.mark.parametrize(
+    ("body", "error", "complete"),
+    [
+        (make_event(1) + make_event(2), ConnectionDone(), True),
+        (make_event(1) + make_event(2), ConnectionLost(), False),
+        (make_event(1) + b"id: 2\nda", ConnectionDone(), False),
+        (make_event(1) + b"id: 2\ndata: piece-2\n", ConnectionDone(), False),
+        (b"", ConnectionDone(), False),
+    ],
+    ids=["whole", "reset", "within an event", "before its end", "no event"],
+)
+@pytest.mark.parametrize("route", ["talk", "once"])
+def test_stream_that_ends_with_its_connection(route, body, error, complete):
+    """A resumable one goes on at another endpoint unless it is whole; others end as broken."""
+    harness = GatewayHarness(endpoints=2)
+    caller = harness.send_request(route)
+    first = harness.accept()
+    first.protocol.dataReceived(UNFRAMED + body)
+    first.disconnect(error)
+    for _ in range(10):
+        harness.clock.advance(0.02)
+    assert caller.value().endswith(b"0\r\n\r\n") is complete
+    second = harness.accept()
+    assert (second is not None) is (not complete and route == "talk")
+    if second is not None and body.startswith(b"id: 1"):
+        last = 2 if body.endswith(b"\n\n") else 1
+        assert b"last-event-id: %d\r\n" % last in second.value().lower()
+
+
+@pytest.mark.parametrize(
+    ("body", "error", "status"),
+    [
+        (b"whole", ConnectionDone(), 200),
+        (b"whole", ConnectionLost(), 502),
+        (b"", ConnectionDone(), 502),
+    ],
+    ids=["whole", "reset", "empty"],
+)
+def test_plain_answer_that_ends_with_its_connection(body, error, status):
+    """Nothing shows that an empty one is whole: its endpoint may have closed after the head."""
+    harness = GatewayHarness(endpoints=2)
+    caller = harness.send_request("book")
+    first = harness.accept()
+    first.protocol.dataReceived(UNFRAMED + body)
+    first.disconnect(error)
+    assert read_status(caller) == status and read_body(caller) == (body if status == 200 else b"")
