--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -11,7 +11,14 @@
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
 
+from coltsfootshift.codec import decode_message, encode_message
+from coltsfootshift.controllers.quarantine import Standing
 from coltsfootshift.gateway.beliefs import BeliefAnswer
+from coltsfootshift.gateway.crashes import (
+    CRASHES_TO_QUARANTINE,
+    SURVIVAL_MEMORY_SECONDS,
+    Suspect,
+)
 from coltsfootshift.gateway.fleet import (
     ENDPOINTS_REQUEST_TIMEOUT_SECONDS,
     ENTRIES_PER_AGENT,
@@ -28,9 +35,10 @@
 )
 from coltsfootshift.gateway.roster import READER_COUNT, SILENCE_TIMEOUT_SECONDS, Roster
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
-from coltsfootshift.ids import FailureDomain, InstanceId, Role
+from coltsfootshift.ids import FailureDomain, InstanceId, Role, SuspectId
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.messages import (
+    EndpointLimitReport,
     EntryList,
     EntryRow,
     Hello,
@@ -285,9 +293,7 @@
 def test_entry_reads_what_others_do_not_confirm(reader, table, age, asked):
     clock = MemoryReactorClock()
     name = next(name for name in NAMES if (name in list_readers()) is reader)
-    address = Address("10.0.0.1", 1)
-    config = NodeConfig(InstanceId(name), address, "north", FailureDomain("a"), (), 8.0, 3)
-    entry = GatewayEntry(clock, config, NullDecoder(), PlatformDialect(), address, BOUNDS)
+    entry = make_entry(clock, name)
     entry.roster.merge([make_row(other) for other in NAMES], 0.0)
     clock.advance(10.0)
     confirmed_at = clock.seconds() - age
@@ -337,3 +343,50 @@
     fleet.stream_received(first, SuspicionReport([], 0.0))
     assert SuspicionReport([], 3.0) in first.sent and SuspicionReport([], 2.0) not in first.sent
     assert (SuspicionReport([], 2.0) in second.sent) is not known
+
+
+def make_entry(clock, name):
+    address = Address("10.0.0.1", 1)
+    config = NodeConfig(InstanceId(name), address, "north", FailureDomain("a"), (), 8.0, 3)
+    return GatewayEntry(clock, config, NullDecoder(), PlatformDialect(), address, BOUNDS)
+
+
+def take_beliefs(stream):
+    """Return the suspicions and limits that were sent on a stream, as they cross the network."""
+    kinds = (SuspicionReport, EndpointLimitReport)
+    sent = [message for message in stream.sent if isinstance(message, kinds)]
+    stream.sent.clear()
+    return [decode_message(encode_message(message)) for message in sent]
+
+
+def test_entry_acts_on_what_another_has_seen_of_an_endpoint():
+    """What one entry sees is told at once, and to an entry that starts later."""
+    clock = MemoryReactorClock()
+    first, second, third = (make_entry(clock, f"entry-{number}") for number in range(3))
+    clock.advance(SURVIVAL_MEMORY_SECONDS)
+    for number in range(20):
+        other = Suspect(SuspectId(f"s/part/{number}"), b"")
+        first.gateway.beliefs.record_survival((other,), 0.0, clock.seconds())
+    streams = {}
+    for node in (first, second):
+        streams[node] = Stream(peer_id="peer")
+        node.fleet.stream_opened(streams[node])
+        streams[node].sent.clear()
+    suspects = []
+    for number in range(CRASHES_TO_QUARANTINE):
+        suspects.append(Suspect(SuspectId("s/part/bad"), b"%d" % number))
+        clock.advance(1.0)
+        begun = [(suspects[-1],)]
+        now = clock.seconds()
+        first.gateway._tell(first.beliefs.record_crash(f"e-{number}", "s", begun, now))
+    first.gateway.notify_peers(first.beliefs.record_limit("e-9/0", 2.5, clock.seconds()))
+    for message in take_beliefs(streams[first]):
+        second.fleet.stream_received(streams[second], message)
+    later = Stream(peer_id="entry-2")
+    second.fleet.stream_opened(later)
+    for message in take_beliefs(later):
+        third.fleet.stream_received(Stream(), message)
+    for node in (first, second, third):
+        standing = node.beliefs.crashes.find_standing(suspects, clock.seconds())
+        assert standing is Standing.QUARANTINED
+        assert node.gateway.beliefs.limits.get_rate("e-9/0") == 2.5
