--- a/src/coltsfootshift/gateway/crashes.py
+++ b/src/coltsfootshift/gateway/crashes.py
@@ -1,4 +1,4 @@
-"""Evidence that requests of one kind end the engines that run them, and its quarantine."""
+"""Evidence that endpoints end under requests with something in common, and the quarantine of it."""
 
 from __future__ import annotations
 
@@ -20,19 +20,20 @@
 # Endpoints that are lost at one moment share a cause, such as the network or a failure domain.
 SEPARATE_MOMENTS_SECONDS = 0.5
 SURVIVAL_MEMORY_SECONDS = 5.0  # what was served this shortly before a crash did not cause it
-# Expected number of suspects that crashes of another cause would bring into quarantine.
+# Highest number of suspects that crashes of another cause may be expected to quarantine.
 MAX_FALSE_SUSPECTS = 0.03
 UNKNOWN_SURVIVAL_SHARE = 0.5  # where nothing is known of requests without the suspect
 OUTCOME_SECONDS = 15.0  # crashes come in series of some seconds
 RECENT_OUTCOMES = 512
-# Nothing tells what most requests have in common from another cause, and refusing it would serve
-# nobody.
+# What most requests have in common cannot be told from another cause, and refusing it would refuse
+# most callers.
 MAX_REQUEST_SHARE = 0.5
 RECENT_REQUESTS = 256  # of a service, from which the share is taken
 SUSPECT_SECONDS = 120.0
 QUARANTINE_SECONDS = 600.0
 MAX_SUSPECTS = 256
 MAX_SURVIVALS = 8192
+MAX_SERVICES = 128  # with recent requests
 MAX_CRASHES = 16  # the latest of one suspect; more add nothing
 MAX_ENDPOINT_CRASHES = 256
 DIGEST_BYTES = 12
@@ -138,10 +139,10 @@
     When an endpoint ends, everything that the requests that had just begun there have in common
     with others is suspected. A suspect that is served elsewhere is cleared, together with its
     crashes, which had another cause; so parts that most prompts share are never suspected for
-    long. A suspect is quarantined if no endpoint has survived it, and if other requests survive so
-    often that chance does not explain its crashes: while endpoints end for another cause, more are
-    needed. Its crashes then no longer count against what else the requests held. All processes
-    exchange what they see and decide, so that each knows what any of them has seen.
+    long. A suspect is quarantined if no endpoint has survived it and chance does not explain that:
+    other requests survive, and it is part of every crash. While endpoints end for another cause,
+    more crashes are needed. They then no longer count against what else the requests held. All
+    processes exchange what they see and decide, so that each knows what any of them has seen.
 
     A process decides only from `judges_from` on, when it has seen requests for a while; an agent,
     which sees none, never does.
@@ -164,7 +165,7 @@
         self._judges_from = judges_from
         self._suspicions: OrderedDict[SuspectId, Suspicion] = OrderedDict()
         self._survivals: OrderedDict[SuspectId, float] = OrderedDict()
-        self._recent: dict[ServiceName, deque[tuple[Suspect, ...]]] = {}
+        self._recent: OrderedDict[ServiceName, deque[tuple[Suspect, ...]]] = OrderedDict()
         self._outcomes: deque[_Outcome] = deque(maxlen=RECENT_OUTCOMES)
         self._ends: OrderedDict[str, tuple[ServiceName, float]] = OrderedDict()
 
@@ -207,6 +208,9 @@
     def record_request(self, service: ServiceName, suspects: tuple[Suspect, ...]) -> None:
         """Record a request of a caller, whether it is served or not."""
         self._recent.setdefault(service, deque(maxlen=RECENT_REQUESTS)).append(suspects)
+        self._recent.move_to_end(service)
+        while len(self._recent) > MAX_SERVICES:
+            self._recent.popitem(last=False)
 
     def record_crash(
         self,
@@ -241,8 +245,6 @@
         for item in suspects:
             if self._remember_survival(item.suspect, begun_at):
                 cleared.append(item.suspect)
-        while len(self._survivals) > MAX_SURVIVALS:
-            self._survivals.popitem(last=False)
         return cleared
 
     def get_survival(self, suspect: SuspectId, now: float) -> float | None:
@@ -277,6 +279,8 @@
         """Remember a survival; return whether it clears a suspicion."""
         self._survivals[suspect] = max(begun_at, self._survivals.get(suspect, begun_at))
         self._survivals.move_to_end(suspect)
+        while len(self._survivals) > MAX_SURVIVALS:
+            self._survivals.popitem(last=False)
         suspicion = self._suspicions.get(suspect)
         if suspicion is None:
             return False
@@ -312,6 +316,11 @@
                 del self._suspicions[other.suspect]
 
     def _is_proved(self, suspicion: Suspicion, now: float) -> bool:
+        """Return whether the crashes of a suspect are not explained by chance.
+
+        By chance, as many requests with it would have been lost as of the others, some of them in
+        the same crash; and any of the candidates could have been the one.
+        """
         if now < self._judges_from:
             return False
         if not suspicion.is_conclusive(suspicion.suspect in self._survivals):
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -11,6 +11,7 @@
 from coltsfootshift.gateway.crashes import (
     CRASHES_TO_QUARANTINE,
     MAX_CRASHES,
+    MAX_SERVICES,
     MAX_SURVIVALS,
     MAX_SUSPECTS,
     QUARANTINE_SECONDS,
@@ -238,6 +239,17 @@
     assert f"survivals={MAX_SURVIVALS}" in repr(evidence)
 
 
+def test_memory_of_a_process_that_only_hears_from_others_is_bounded():
+    """An agent records no survival itself, and services are removed from the catalogue."""
+    evidence = CrashEvidence(inf)
+    for number in range(MAX_SURVIVALS + 10):
+        evidence.merge(Suspicion(SuspectId(f"v-{number}"), False, survived_at=32.0), 32.0)
+    assert f"survivals={MAX_SURVIVALS}" in repr(evidence)
+    for number in range(MAX_SERVICES + 10):
+        evidence.record_request(ServiceName(f"s-{number}"), (Suspect(PART, b""),))
+    assert len(evidence._recent) == MAX_SERVICES
+
+
 @pytest.mark.parametrize("known", range(1, MAX_CRASHES + 4))
 def test_exchange_of_suspicions_comes_to_an_end(known):
     """Two processes that know different crashes do not tell each other the same for ever."""
