Add a failing test: an entry that learnt of a version late serves an outdated one

Its record shows that processes in the regions away from the store learn of the version up to 0.81 s late, behind copies of a large catalogue, and that most of those that learn at once do not count as having observed the publication (previous_age 2.25 s, bound 2 s), so that what they report is dropped by the others.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -338,3 +338,53 @@
     for report in make_reports(*ages, restarted=peer_restarted):
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+def follow(tables, clock, unconfirmed_for, items, revision):
+    """Apply a change to a running process `unconfirmed_for` after the last confirmation."""
+    for _ in range(round(unconfirmed_for / 0.25)):
+        tables.record_running(clock.seconds())
+        clock.advance(0.25)
+    tables.record_running(clock.seconds())
+    apply(tables, clock, items, revision)
+
+
+@pytest.mark.parametrize(
+    ("peer_restarted", "published_for", "allowed"),
+    [
+        (False, 7.25, False),
+        (False, 6.75, True),
+        (True, 7.25, False),
+        (True, 6.75, True),
+    ],
+    ids=["due within the margin", "not yet due", "peer restarted", "peer restarted, not yet due"],
+)
+def test_entry_that_learnt_behind_a_large_change_serves_no_outdated_version(
+    peer_restarted, published_for, allowed
+):
+    """An entry behind a full link learns a second late; none has followed the store closely.
+
+    The answer of the store that brought the change before confirms the table as of 2.25 s before
+    the publication, so that no entry counts as having observed it. Another entry learnt of the
+    version at once.
+    """
+    peer_clock = Clock()
+    peer_clock.advance(500.0)
+    peer = TableCache(VersionDecoder(), peer_clock.seconds())
+    if peer_restarted:
+        apply(peer, peer_clock, (VERSION_ITEM,), 5)
+    else:
+        apply(peer, peer_clock, (OTHER_ITEM,), 4)
+        follow(peer, peer_clock, 2.25, (VERSION_ITEM,), 5)
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    follow(harness.tables, harness.clock, 3.25, (VERSION_ITEM,), 5)
+    harness.clock.advance(published_for - 1.0)
+    peer_clock.advance(published_for)
+    assert not any(wanted.observed for wanted in peer.wanted_versions["m"])
+    stream = Stream()
+    make_fleet(peer_clock, peer).stream_opened(stream)
+    fleet = make_fleet(harness.clock, harness.tables)
+    for report in stream.sent:
+        fleet.stream_received(Stream(), report)
+    assert serves_outdated(harness) is allowed
