Count a version's limit from the earliest process that had it

Cause: an entry that has followed the store takes the moment at which it learnt of a version for its publication. Behind copies of a large catalogue on a link between regions that is up to 0.8 s late. Reports of entries that learnt sooner should correct it, but were dropped unless the reporter counts as having observed the publication, and it does so only if the store had confirmed its table in the 2 s before. The answer that brings a change confirms the table as of the beginning of its read, so that right after a large catalogue nobody counts.

Two rows of the test failed before; all pass now.

Ruled out for the report: a late withdrawal (nothing was withdrawn), an engine that reports a version that it does not serve (the request would have named that version and been rejected), an engine that falls silent (the requests were placed inside the margin).

Why it works: a process that has a version proves that it had been published, whether it observed it or not. So the earliest such time bounds the publication from above, and is never before it. What a process found at its start counts from when it received it, not from its start, which may be before the publication.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -32,6 +32,7 @@
 # A table that was confirmed within this time before a change has been followed without a break.
 MAX_OBSERVED_AGE_SECONDS = 2.0
 MAX_SHARED_AGE_SECONDS = 60.0  # the limit of a version published before has passed
+MIN_LOGGED_CORRECTION_SECONDS = 0.1  # of the time of a publication; smaller ones are transit times
 MIN_OUTAGE_SECONDS = 1.0  # leases do not expire in a shorter outage of the store
 
 logger = get_logger("gateway.knowledge")
@@ -77,8 +78,9 @@
     break since the store last confirmed that the version was not published, at `unpublished_at`;
     `learnt_at` then stands for the publication. Otherwise it is when the process went on after the
     break. `reported_at` is the earliest time of publication reported by other processes, and
-    `held_since` the earliest time since which one has the version; infinite if none has reported
-    it. Times are in seconds of this process's clock.
+    `held_since` the earliest time since which any process, this one included, is known to have the
+    version, so that it was published before; infinite if unknown. Times are in seconds of this
+    process's clock.
     """
 
     model: str
@@ -94,13 +96,18 @@
     def published_by(self) -> float | None:
         """The time by which the version was published, None if only bounds of it are known.
 
+        The answer of the store may have taken long to arrive here, so that the earliest process
+        that had the version counts.
+
         >>> WantedVersion("m", 2, learnt_at=6.0, reported_at=1.5).published_by
         1.5
+        >>> WantedVersion("m", 2, learnt_at=6.0, held_since=5.2).published_by
+        5.2
         >>> WantedVersion("m", 2, learnt_at=6.0, at_start=True).published_by
         >>> WantedVersion("m", 2, learnt_at=6.0, followed=False, unpublished_at=0.5).published_by
         """
         if self.followed and not self.at_start:
-            return min(self.learnt_at, self.reported_at)
+            return min(self.learnt_at, self.reported_at, self.held_since)
         return self.reported_at if isfinite(self.reported_at) else None
 
     def compute_limit(self, version_within: float, contact_within: float) -> float:
@@ -124,8 +131,13 @@
 
     @property
     def known_by(self) -> float:
-        """The earliest time at which a process is known to have had the version."""
-        return min(self.learnt_at, self.reported_at, self.held_since)
+        """The earliest time at which a process is known to have had the version.
+
+        >>> WantedVersion("m", 2, learnt_at=0.5, at_start=True, held_since=1.0).known_by
+        1.0
+        """
+        learnt_at = inf if self.at_start else self.learnt_at
+        return min(learnt_at, self.reported_at, self.held_since)
 
     @property
     def observed(self) -> bool:
@@ -297,9 +309,9 @@
     ) -> None:
         """Record since when another process has a version; `observed` if it saw the publication.
 
-        The earliest observed time counts. A version that a newer one has replaced may be unknown
-        here and is added, since its limit still counts. One that is newer than the cached table is
-        ignored; it is reported again.
+        The earliest time of each kind counts. A version that a newer one has replaced may be
+        unknown here and is added, since its limit still counts. One that is newer than the cached
+        table is ignored; it is reported again.
         """
         versions = self.wanted_versions.get(model, [])
         if not versions or version > versions[-1].version:
@@ -312,16 +324,21 @@
             wanted = replace(wanted, version=version, followed=False, reported_at=inf)
             wanted = replace(wanted, held_since=published_at)
             versions.insert(index, wanted)
-        if not observed or published_at >= wanted.reported_at:
-            return
         known = wanted.published_by
-        versions[index] = replace(wanted, reported_at=published_at)
-        if known is None or known - published_at > MAX_OBSERVED_AGE_SECONDS:
+        wanted = replace(wanted, held_since=min(wanted.held_since, published_at))
+        if observed:
+            wanted = replace(wanted, reported_at=min(wanted.reported_at, published_at))
+        versions[index] = wanted
+        if wanted.published_by is None or wanted.published_by == known:
+            return
+        if known is None or known - published_at > MIN_LOGGED_CORRECTION_SECONDS:
             logger.info(
                 "publication time learnt from a peer",
                 extra={
                     "model": model,
                     "version": version,
+                    "observed": observed,
+                    "age": round(self._ran_at - published_at, 3),
                     "earlier": None if known is None else round(known - published_at, 3),
                 },
             )
@@ -417,6 +434,7 @@
             at_start,
             followed=followed,
             unpublished_at=previously_confirmed_at,
+            held_since=now,
         )
         versions.append(wanted)
         del versions[:-MAX_VERSIONS_PER_MODEL]
