--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -124,13 +124,15 @@
 class StoreStandIn(StandIn):
     """The platform's store: versioned items, paged range reads, long-polling watches.
 
-    While `down` is set, every request is answered with that HTTP status.
+    While `down` is set, every request is answered with that HTTP status. `copy` and `restore`
+    make it come back from an older copy: revisions go back, and a new era begins.
     """
 
     def __init__(self) -> None:
         self.items: dict[str, dict] = {}
         self.events: list[dict] = []
         self.revision = 0
+        self.era = 1
         self.first_event = 0
         self.down = 0
         self.calls = 0
@@ -151,6 +153,19 @@
                 self.events.append(self.items[key])
             self.condition.notify_all()
 
+    def copy(self) -> tuple:
+        """Return a copy of the contents, for `restore`."""
+        with self.condition:
+            return dict(self.items), list(self.events), self.revision, self.first_event
+
+    def restore(self, copy: tuple) -> None:
+        """Go back to an earlier copy, whose later revisions are given out again."""
+        with self.condition:
+            items, events, self.revision, self.first_event = copy
+            self.items, self.events = dict(items), list(events)
+            self.era += 1
+            self.condition.notify_all()
+
     def compact_history(self) -> None:
         """Discard the history of changes, as the store may do at any time."""
         with self.condition:
@@ -160,26 +175,27 @@
     def handle(self, method, path, query, body, headers):
         self.calls += 1
         if self.down:
-            return self.down, b"", {}
-        fields = self._range(query) if path == "/api/kv-range" else self._watch(query)
+            return self.down, b"", {"Store-Era": str(self.era)}
+        era, fields = self._range(query) if path == "/api/kv-range" else self._watch(query)
+        headers = {"Content-Type": "application/json", "Store-Era": str(era)}
         if fields is None:
-            return 410, b"", {}
-        return 200, json.dumps(fields).encode(), {"Content-Type": "application/json"}
+            return 410, b"", headers
+        return 200, json.dumps(fields).encode(), headers
 
     def _range(self, query):
         with self.condition:
             keys = sorted(k for k in self.items if k.startswith(query["prefix"]))
             rest = [key for key in keys if key > query.get("after", "")]
             items = [self.items[key] for key in rest[:2]]
-            return {"items": items, "has_more": len(rest) > 2, "at": self.revision}
+            return self.era, {"items": items, "has_more": len(rest) > 2, "at": self.revision}
 
     def _watch(self, query):
         after = int(query["after"])
         until = time.monotonic() + int(query["wait_ms"]) / 1000
         with self.condition:
             while not self.down:
-                if after < self.first_event:
-                    return None
+                if not self.first_event <= after <= self.revision:
+                    return self.era, None
                 events = [
                     item
                     for item in self.events
@@ -187,9 +203,9 @@
                 ]
                 remaining = until - time.monotonic()
                 if events or remaining <= 0:
-                    return {"events": events, "at": self.revision}
+                    return self.era, {"events": events, "at": self.revision}
                 self.condition.wait(min(remaining, 0.1))
-        return {"events": [], "at": after}
+            return self.era, {"events": [], "at": after}
 
 
 class EndpointStandIn(StandIn):
