Let the store of the soak come back from an older copy

After the drawn faults and the publication, each seed takes a copy of the store, changes keys and routes, and brings the store back from the copy once or twice, while an entry may be killed; what the store lacks is written again up to 1 s later. The faults come from random numbers of their own, so that the others of a seed stay the same.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -17,6 +17,9 @@
 # Entries do not run from just before the publication until up to some seconds after it.
 PAUSE_LEAD_RANGE_SECONDS = (0.1, 0.4)
 PAUSE_RANGE_SECONDS = (1.0, 7.0)
+RESTORE_RANGE_SECONDS = (0.2, 2.0)  # how long the store is away before it comes back
+REWRITE_RANGE_SECONDS = (0.0, 1.0)  # until the operator and the endpoints write again
+CHANGES_BEFORE_RESTORE_SECONDS = 1.5  # in which keys, routes and endpoints change after the copy
 ORIGIN_OUTAGE_RANGE_SECONDS = (8.0, 14.0)  # around the time limit of the version
 
 
@@ -172,6 +175,47 @@
         return f"StoreFault({self.status}, removed={self.removed}, {self.seconds:.1f} s)"
 
 
+class RestoredStore(Fault):
+    """Takes the store away and brings it back from the copy that `KeepCopy` has kept."""
+
+    def choose(self, fleet: SoakFleet, rng: Random) -> None:
+        self.seconds = rng.uniform(*RESTORE_RANGE_SECONDS)
+        self.rewrite_delay = rng.uniform(*REWRITE_RANGE_SECONDS)
+
+    def begin(self, fleet: SoakFleet) -> None:
+        fleet.record_disruption(STORE, self.seconds + self.rewrite_delay)
+        fleet.store.down = 503
+
+    def end(self, fleet: SoakFleet) -> None:
+        fleet.restore_store()
+        fleet.store.down = 0
+
+    def __repr__(self) -> str:
+        return (
+            f"RestoredStore({self.seconds:.1f} s, written again {self.rewrite_delay:.1f} s later)"
+        )
+
+
+class KeepCopy(Fault):
+    """Keeps the copy of the store from which it comes back later."""
+
+    def choose(self, fleet: SoakFleet, rng: Random) -> None:
+        self.seconds = 0.0
+
+    def begin(self, fleet: SoakFleet) -> None:
+        fleet.keep_copy()
+
+
+class WriteAgain(Fault):
+    """Writes what a restored store lacks."""
+
+    def choose(self, fleet: SoakFleet, rng: Random) -> None:
+        self.seconds = 0.0
+
+    def begin(self, fleet: SoakFleet) -> None:
+        fleet.write_again()
+
+
 class BackendFault(Fault):
     """Makes an endpoint or engine refuse requests, fail them or cut their connections."""
 
@@ -300,3 +344,29 @@
         starts_at = published_at - rng.uniform(*PAUSE_LEAD_RANGE_SECONDS)
         plan.append(PlannedFault(starts_at, fault))
     return sorted(plan, key=lambda planned: planned.starts_at)
+
+
+def draw_restore(fleet: SoakFleet, rng: Random) -> list[PlannedFault]:
+    """Return the faults of a store that comes back from a copy of before some changes, up to twice.
+
+    An entry may be killed, so that it reads the copy as it starts.
+    """
+    plan = [PlannedFault(0.0, KeepCopy())]
+    for kind in ("key", "route"):
+        change = ConfigChange()
+        change.kind, change.key = kind, rng.choice(fleet.keys)
+        plan.append(PlannedFault(rng.uniform(0.1, CHANGES_BEFORE_RESTORE_SECONDS), change))
+    starts_at = CHANGES_BEFORE_RESTORE_SECONDS
+    for _ in range(rng.randint(1, 2)):
+        restore = RestoredStore()
+        restore.choose(fleet, rng)
+        back_at = starts_at + restore.seconds
+        plan.append(PlannedFault(starts_at, restore))
+        plan.append(PlannedFault(back_at + restore.rewrite_delay, WriteAgain()))
+        if rng.random() < 0.5:
+            kill = Kill()
+            kill.member = rng.choice(fleet.entries)
+            kill.seconds = rng.uniform(*PUBLICATION_RANGE_SECONDS)
+            plan.append(PlannedFault(max(0.0, back_at - kill.seconds), kill))
+        starts_at = back_at + restore.rewrite_delay + rng.uniform(0.1, 1.0)
+    return sorted(plan, key=lambda planned: planned.starts_at)
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -188,6 +188,8 @@
         self._agents_net = f"127.{os.getpid() % 200 + 20}.1"
         self._addresses: dict[str, str] = {}
         self._listed: dict[str, dict] = {}
+        self._config: dict = {}
+        self._copy: tuple = self.store.copy()
         self._removed: set[str] = set()
         self._closed = threading.Event()
         self._heartbeats = threading.Thread(target=self._publish_heartbeats, daemon=True)
@@ -241,8 +243,25 @@
         for key in self.keys:
             teams.setdefault(TEAMS[key], []).append(key)
         config["tenants"] = [{"name": n, "keys": k, "priority": 1} for n, k in teams.items()]
+        self._config = config
         self.store.put("op/config", config)
 
+    def keep_copy(self) -> None:
+        """Keep a copy of the store, from which it can come back."""
+        self._copy = self.store.copy()
+
+    def restore_store(self) -> None:
+        """Bring the store back from the copy, without what was written since."""
+        self.store.restore(self._copy)
+
+    def write_again(self) -> None:
+        """Write what the store may lack, as the operator, endpoints and engines do."""
+        self.store.put("op/config", self._config)
+        row = {"model": MODEL, "version": self.weights_version}
+        self.store.put(f"op/version/{MODEL}", row)
+        for name, fields in list(self._listed.items()):
+            self.store.put(f"servers/{name}", fields or None)
+
     def put_version(self) -> None:
         """Publish the next version of the weights."""
         self.weights_version += 1
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,7 +17,7 @@
 from platform_standins import make_chunk, send_request
 
 from soak.callers import Caller
-from soak.faults import Fault, PlannedFault, draw_plan, draw_publication
+from soak.faults import Fault, PlannedFault, draw_plan, draw_publication, draw_restore
 from soak.ledger import SETTLE_SECONDS, Call, Kind
 from soak.members import Member, SoakFleet
 
@@ -62,9 +62,11 @@
     result = Result(seed, [])
     try:
         fleet.start()
-        # From its own random numbers, so that the faults of a seed stay the same.
+        # From their own random numbers, so that the faults of a seed stay the same.
         publication = draw_publication(fleet, Random(f"publication {seed}"))
-        result.plans = [draw_plan(fleet, rng, FAULT_PERIOD_SECONDS, FAULT_COUNT), publication]
+        restore = draw_restore(fleet, Random(f"restore {seed}"))
+        plan = draw_plan(fleet, rng, FAULT_PERIOD_SECONDS, FAULT_COUNT)
+        result.plans = [plan, publication, restore]
         for caller in callers:
             caller.start()
         probing = Caller(fleet, f"p{seed}", seed, False)
