Open no stream on a connection that was given up while it was in progress

What callers saw: large catalogues reach agents across regions; the links between regions are full for over a second, behind which answers of the store, requests and withdrawals wait.

Cause: an agent dials its seeds, learns over the first of them of the entries of its region and drops the others. A dialler that is stopped while its connection is in progress has no stream to close yet, and buildProtocol made one all the same. The agent keeps it until the entry ends, and asks it for tables as it does the entries of its region.

The test failed before (a stream was built for both seeds) and passes now.

Ruled out: too few entries in the region (each of these agents had two), a seed that is chosen again (targets are of the region).

Why it works: Twisted closes a connection for which no protocol is built, and a stopped dialler does not retry.

--- a/src/coltsfootshift/streams.py
+++ b/src/coltsfootshift/streams.py
@@ -151,8 +151,10 @@
         if self._stream is not None and self._stream.connected:
             self._stream.close()
 
-    def buildProtocol(self, addr: Any) -> PeerStream:
-        """Return a stream for an outgoing connection."""
+    def buildProtocol(self, addr: Any) -> PeerStream | None:
+        """Return a stream for an outgoing connection, None if it is no longer wanted."""
+        if self._stopped:
+            return None
         self._stream = PeerStream(
             self._context, self._accept_peer, self._purpose, expected=self._expected_instance
         )
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -254,6 +254,23 @@
         assert all(target.startswith("10.1.") for target in fleet._dialer.targets)
 
 
+def test_agent_opens_no_stream_to_an_entry_that_it_no_longer_wants():
+    """A connection in progress, across regions, must not become a stream after it was given up."""
+    hello = Hello("agent-1", "1", "agent", "entries", "", "north", "a", 0.0)
+    reactor = MemoryReactorClock()
+    keys = KeyRing.make("secret")
+    context = StreamContext(reactor, PEER_TIMING, Metrics(), lambda purpose: hello, keys)
+    tables = TableCache(NullDecoder())
+    seeds = [Address("10.2.0.1", 1), Address("10.2.0.2", 1)]
+    fleet = FleetTask(context, tables, Roster(None), seeds, None, Observer(), Random(1))
+    fleet.start()
+    dials = [client[2] for client in reactor.tcpClients]
+    rows = [make_region_row("north", number) for number in range(1, 1 + ENTRIES_PER_AGENT)]
+    fleet.stream_received(Stream(), EntryList(rows))
+    assert [dial.buildProtocol(None) for dial in dials] == [None, None]
+    assert reactor.tcpClients[-1][2].buildProtocol(None) is not None
+
+
 def make_region_row(region, number):
     host = f"10.{1 if region == 'north' else 2}.0.{number}"
     return EntryRow(f"{region}-{number}", 1, host, 1, 2, region, region, True, False)
