Report no version as held since before its publication

What callers would see: after, all engines with the former version are refused from up to several seconds before the limit on, by all entries at once.

Cause: a process that went on after a break and then learns of a version stores the end of the break as the time at which it learnt of it. It reports this as the time since when it has the version. Nothing had come from the store in between, so that it may be any time before the publication. Until such a report counted only for entries that had themselves missed the version; since then it counts for all.

Evidence: an entry that stood still for 0.6 s, ran for 7 s without an answer of the store and then learns of a version reports that it has had it for 7 s. The second row of the test failed before: an entry that learnt of the version at once refused the former one, 7 s too early.

Ruled out: the version found at the start, whose start time already leaves out; clocks (only ages are sent).

Why it works: what is reported counts from when a process received the version, which is never before the publication.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -133,10 +133,14 @@
     def known_by(self) -> float:
         """The earliest time at which a process is known to have had the version.
 
+        The start of this process and the end of a break may be before the publication.
+
         >>> WantedVersion("m", 2, learnt_at=0.5, at_start=True, held_since=1.0).known_by
         1.0
+        >>> WantedVersion("m", 2, learnt_at=0.5, followed=False, held_since=1.0).known_by
+        1.0
         """
-        learnt_at = inf if self.at_start else self.learnt_at
+        learnt_at = self.learnt_at if self.followed and not self.at_start else inf
         return min(learnt_at, self.reported_at, self.held_since)
 
     @property
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -388,3 +388,22 @@
     for report in stream.sent:
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize("stopped_for", [0.0, 0.6], ids=["ran on", "stood still long before"])
+def test_no_report_is_earlier_than_the_publication(stopped_for):
+    """An entry without the store for 7 s had stopped at the beginning; the version is new."""
+    peer_clock = Clock()
+    peer = TableCache(VersionDecoder())
+    apply(peer, peer_clock, (OTHER_ITEM,), 4)
+    peer_clock.advance(stopped_for)
+    follow(peer, peer_clock, 7.0, (VERSION_ITEM,), 5)
+    stream = Stream()
+    make_fleet(peer_clock, peer).stream_opened(stream)
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
+    fleet = make_fleet(harness.clock, harness.tables)
+    for report in stream.sent:
+        fleet.stream_received(Stream(), report)
+    assert serves_outdated(harness)
