Pass on the earliest known time of a publication

What callers would see: requests begin on an outdated version, placed by an entry that has restarted since the publication.

Cause: an entry that followed the store when a version was published reports when it learnt of it, even if it knows from another entry that it was published earlier. Where that one has ended since, its time is lost to entries that start later.

Evidence: an entry learnt of a version 1.25 s late and had been told so by one that has ended; a restarted entry served the former version 7.25 s after the publication, inside the margin of 1 s. The test failed before and passes now.

Ruled out: entries that did not follow the store; they report the earliest time that they know already.

Why it works: each known time is one at which some process had the version, so that the earliest is the closest to the publication and not before it.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -354,10 +354,8 @@
                 rows.append(TableRevision(table.value, revision, age))
         published = []
         for wanted in self._tables.list_shared_versions(now):
-            since = wanted.learnt_at if wanted.observed else wanted.known_by
-            published.append(
-                PublishedVersion(wanted.model, wanted.version, now - since, wanted.observed)
-            )
+            age = now - wanted.known_by
+            published.append(PublishedVersion(wanted.model, wanted.version, age, wanted.observed))
         return TableRevisions(rows, now, published)
 
     def _broadcast(self, message: Message) -> None:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -407,3 +407,22 @@
     for report in stream.sent:
         fleet.stream_received(Stream(), report)
     assert serves_outdated(harness)
+
+
+def test_earlier_bound_than_the_own_one_is_passed_on():
+    """An entry learnt of a version late, and from one that has ended when it was published."""
+    clock = Clock()
+    observer = TableCache(VersionDecoder())
+    apply(observer, clock, (OTHER_ITEM,), 4)
+    follow(observer, clock, 1.5, (VERSION_ITEM,), 5)
+    observer.record_publication("m", 2, 0.25, observed=True)
+    clock.advance(6.0)
+    stream = Stream()
+    make_fleet(clock, observer).stream_opened(stream)
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
+    harness.clock.advance(3.5)
+    fleet = make_fleet(harness.clock, harness.tables)
+    for report in stream.sent:
+        fleet.stream_received(Stream(), report)
+    assert not serves_outdated(harness)
