Take no version for just published that a new process did not follow

What callers would see: requests begin on an outdated version, placed by an entry that has restarted since the publication.

Cause: an entry that starts may receive its first table from a peer that has lost the store. A version in the next answer then counted as followed, although the table had been confirmed before the process started, and its limit was counted from when the entry learnt of it. Other entries usually report an earlier time; where none does, the limit was late by up to the age of the table.

Evidence: an entry started with a table that was 10 s old and learnt of the version from the store; it served the former version 2.5 s after its start, inside the margin of 1 s of being held to the limits. The first row of the test failed before, all pass now.

Ruled out: a version in the first answer, which never counted as followed; a first table confirmed since the start (third row).

Why it works: the start of a process is a break in following the store, so that the limit counts from the last confirmation of the store, but not before the process is held to the limits.

--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -76,10 +76,10 @@
     `at_start` is set if the version was in the first answer that the process received; `learnt_at`
     is the start time of the process in that case. `followed` is set if this process ran without a
     break since the store last confirmed that the version was not published, at `unpublished_at`;
-    `learnt_at` then stands for the publication. Otherwise it is when the process went on after the
-    break. `reported_at` is the earliest time of publication reported by other processes, and
-    `held_since` the earliest time since which any process, this one included, is known to have the
-    version, so that it was published before; infinite if unknown. Times are in seconds of this
+    `learnt_at` then stands for the publication. Otherwise it is when the process started or went on
+    after the break. `reported_at` is the earliest time of publication reported by other processes,
+    and `held_since` the earliest time since which any process, this one included, is known to have
+    the version, so that it was published before; infinite if unknown. Times are in seconds of this
     process's clock.
     """
 
@@ -229,7 +229,7 @@
         self._engine_statuses: dict[Address, EngineStatus] = {}
         self._is_first_answer = True
         self._ran_at = started_at
-        self._resumed_at = float("-inf")
+        self._resumed_at = started_at
 
     def __repr__(self) -> str:
         version = self.catalogue.version if self.catalogue else None
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -426,3 +426,25 @@
     for report in stream.sent:
         fleet.stream_received(Stream(), report)
     assert not serves_outdated(harness)
+
+
+@pytest.mark.parametrize(
+    ("table_age", "started_for", "allowed"),
+    [(10.0, 2.5, False), (10.0, 1.5, True), (1.0, 2.5, True)],
+    ids=["held to the limits", "not yet held to the limits", "confirmed lately"],
+)
+def test_entry_that_starts_with_an_outdated_table_knows_no_publication(
+    table_age, started_for, allowed
+):
+    """The first table came from a peer that had lost the store `table_age` ago.
+
+    The version may have been published any time since. The margin of 1 s counts here too.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    started_at = harness.clock.seconds()
+    confirmed_at = started_at - table_age
+    answer = TableAnswer(Table.OPERATOR, (OTHER_ITEM,), 4, True, confirmed_at)
+    harness.tables.apply(answer, started_at)
+    apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
+    harness.clock.advance(started_for)
+    assert serves_outdated(harness) is allowed
