--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -113,6 +113,22 @@
     assert streams[1].count_requests() == 1
 
 
+@pytest.mark.parametrize("closed", [False, True], ids=["open", "closed"])
+def test_change_announced_during_a_request_is_requested_after_its_answer(fleet, closed):
+    """A small change does not wait for the next announcement because a large one was on its way."""
+    first, second = Stream(), Stream(peer_id="entry-3")
+    for stream, revision in ((first, 5), (second, 6)):
+        fleet.stream_opened(stream)
+        rows = [TableRevision("operator", revision, 0.1)]
+        fleet.stream_received(stream, TableRevisions(rows, 0.0))
+    assert (first.count_requests(), second.count_requests()) == (1, 0)
+    if closed:
+        fleet.stream_closed(second, "lost")
+    item = TableItem("k", 5, b"{}")
+    fleet.stream_received(first, TableChanges("operator", 5, 0.0, [item], ["k"], 0.0))
+    assert (first.count_requests(), second.count_requests()) == (1, 0 if closed else 1)
+
+
 @pytest.mark.parametrize(
     ("table", "timeout"),
     [
