Request a change that was announced during a request right after its answer

What callers would see: a new version or a leaving endpoint is known up to 0.5 s later, after a large catalogue.

Cause: one request per table is pending at a time. What peers announce meanwhile is not requested, and it was not remembered either, so that it waited for the next announcement after the answer.

Why it works: the newest announcement is kept until the answer and requested then, once, from the peer that made it. An answer that is as new, or a peer that has gone, needs no request.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -106,6 +106,7 @@
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
         self._pending_requests: dict[Table, tuple[InstanceId, float]] = {}
+        self._announced: dict[Table, tuple[int, PeerStream]] = {}
         self._behind_since: dict[Table, tuple[int, float]] = {}
         self._ticked_at = context.reactor.seconds()
         self._loop = LoopingCall(self._tick)
@@ -264,6 +265,8 @@
             if row.revision == cached:
                 self._tables.confirm(table, cached, now - row.age - stream.max_transit_seconds)
             elif row.revision > cached:
+                if row.revision > self._announced.get(table, (0, stream))[0]:
+                    self._announced[table] = (row.revision, stream)
                 self._request_changes(stream, table)
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
@@ -343,6 +346,16 @@
             self._observer.tables_changed()
             if self._roster.own is not None:
                 self._broadcast(self._make_revision_report())
+        self._request_announced(table)
+
+    def _request_announced(self, table: Table) -> None:
+        """Request what was announced while an earlier change was on its way."""
+        announced = self._announced.pop(table, None)
+        if announced is None or announced[0] <= self._tables.get_revision(table):
+            return
+        stream = announced[1]
+        if stream in self._streams.get(stream.peer_id, []):
+            self._request_changes(stream, table)
 
     def _make_revision_report(self) -> TableRevisions:
         now = self._context.reactor.seconds()
