Add a failing test: a version that all processes learn of late

The earliest process that has a version bounds its publication from above. If the processes near the store are down or stand still, that may be any time after it; the last confirmation without the version bounds it from below and is not used.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -448,3 +448,14 @@
     apply(harness.tables, harness.clock, (VERSION_ITEM,), 5)
     harness.clock.advance(started_for)
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize("unconfirmed_for", [1.75, 3.25])
+def test_entry_that_learnt_late_alone_serves_no_outdated_version(unconfirmed_for):
+    """The answer with the version was 1.5 s on its way, and no other process learnt sooner."""
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    follow(harness.tables, harness.clock, unconfirmed_for, (VERSION_ITEM,), 5)
+    published_for = 8.25
+    harness.clock.advance(published_for - 1.5)
+    assert not serves_outdated(harness)
