Add a failing test: agents that learn of a version late choose another one

How far a transfer has come is counted from when the agent learnt of the version, though entries tell it when that was published. Agents that choose differently have fewer sources of chunks. One row fails: the late agent switches to the newer version.

--- a/tests/test_gateway_weights.py
+++ b/tests/test_gateway_weights.py
@@ -41,6 +41,16 @@
     assert selector.choose([VERSION_2, version_3], asked_at).version == expected
 
 
+@pytest.mark.parametrize("late", [0.0, 0.8])
+def test_agents_choose_alike_though_one_learnt_late(late):
+    """An agent behind a full link knows from entries when version 2 was published."""
+    selector = VersionSelector()
+    version_2 = WantedVersion("m", 2, 18.0 + late, held_since=18.0)
+    selector.choose([version_2], 18.0 + late)
+    version_3 = WantedVersion("m", 3, 19.5, held_since=19.5)
+    assert selector.choose([version_2, version_3], 19.5).version == 2
+
+
 @pytest.mark.parametrize("sizes", [(4, 4, 1), (3, 3, 3), (1, 1, 8)])
 def test_pulls_from_the_origin_are_shared_by_instances_not_regions(sizes):
     chunks = 480
