Add a failing test: a late report replaces a newer limit of an endpoint

The age in a report of limits counts from when the report arrives; the transit time that the stream has measured is not added. One row fails: the entry drops the limit that the endpoint has just named and may exceed it until the endpoint names it again.

--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -39,6 +39,7 @@
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.messages import (
     EndpointLimitReport,
+    EndpointLimitRow,
     EntryList,
     EntryRow,
     Hello,
@@ -423,3 +424,20 @@
         standing = node.beliefs.crashes.find_standing(suspects, clock.seconds())
         assert standing is Standing.QUARANTINED
         assert node.gateway.beliefs.limits.get_rate("e-9/0") == 2.5
+
+
+@pytest.mark.parametrize(
+    ("waited", "rate"), [(0.0, None), (1.5, 2.5)], ids=["prompt report", "late report"]
+)
+def test_late_report_replaces_no_newer_limit(waited, rate):
+    """A limit that was named 1 s ago is newer than a report that was on its way for longer."""
+    clock = MemoryReactorClock()
+    entry = make_entry(clock, "entry-1")
+    clock.advance(10.0)
+    entry.beliefs.record_limit("e-1/0", 2.5, clock.seconds() - 1.0)
+    stream = Stream()
+    stream.max_transit_seconds = stream.transit_delay = waited
+    entry.fleet.stream_opened(stream)
+    report = EndpointLimitReport([EndpointLimitRow("e-1/0", None, 0.1)], 0.0)
+    entry.fleet.stream_received(stream, report)
+    assert entry.beliefs.limits.get_rate("e-1/0") == rate
