Add a failing test: a late notice of an engine replaces the store's record

The validity of an agent's notice counts from when it arrives; how long it was on its way is not used.

--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -27,6 +27,7 @@
     STORE_ANSWER_SECONDS,
     FleetTask,
 )
+from coltsfootshift.gateway.model import EndpointRecord
 from coltsfootshift.gateway.nodes import (
     MAX_RELAYED_AGE_SECONDS,
     PEER_TIMING,
@@ -34,12 +35,19 @@
     NodeConfig,
 )
 from coltsfootshift.gateway.roster import READER_COUNT, SILENCE_TIMEOUT_SECONDS, Roster
-from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
-from coltsfootshift.ids import FailureDomain, InstanceId, Role, SuspectId
+from coltsfootshift.gateway.table_cache import (
+    ENGINE_STATUS_TTL_SECONDS,
+    Item,
+    Table,
+    TableAnswer,
+    TableCache,
+)
+from coltsfootshift.ids import FailureDomain, InstanceId, Role, ServiceName, SuspectId
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.messages import (
     EndpointLimitReport,
     EndpointLimitRow,
+    EngineNotice,
     EntryList,
     EntryRow,
     Hello,
@@ -441,3 +449,23 @@
     report = EndpointLimitReport([EndpointLimitRow("e-1/0", None, 0.1)], 0.0)
     entry.fleet.stream_received(stream, report)
     assert entry.beliefs.limits.get_rate("e-1/0") == rate
+
+
+@pytest.mark.parametrize(
+    ("waited", "version"),
+    [(0.0, 2), (ENGINE_STATUS_TTL_SECONDS + 0.5, 3)],
+    ids=["prompt notice", "late notice"],
+)
+def test_late_notice_replaces_no_record_of_the_store(waited, version):
+    """A notice that was on its way for longer than it is valid says nothing of the engine now."""
+    entry = make_entry(MemoryReactorClock(), "entry-1")
+    address = Address("10.0.0.9", 180)
+    name, service = InstanceId("m-0"), ServiceName("llm")
+    record = EndpointRecord(name, service, address, FailureDomain("a"), 6, versions={"m": 3})
+    entry.tables.endpoints[name] = record
+    stream = Stream(role=Role.AGENT)
+    stream.max_transit_seconds = stream.transit_delay = waited
+    entry.fleet.stream_opened(stream)
+    notice = EngineNotice(address.host, address.port, 0, "m", 2, False, 0.0)
+    entry.fleet.stream_received(stream, notice)
+    assert entry.tables.endpoints[name].versions == {"m": version}
