Add a failing test: a report of an earlier build ends a version before its limit

Builds before report a version as held since the start of the process or the end of its break, which may be before the publication. Such reports counted only for entries that had missed the publication; now they count for all. The last confirmation of the store without the version shows that they are wrong and is not compared.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -459,3 +459,20 @@
     published_for = 8.25
     harness.clock.advance(published_for - 1.5)
     assert not serves_outdated(harness)
+
+
+@pytest.mark.parametrize("age", [6.0, 9.0])
+def test_report_of_an_earlier_build_ends_no_version_before_its_limit(age):
+    """Earlier builds report their start or the end of a break, before the publication.
+
+    The store has confirmed 0.25 s before this entry learnt of the version that there was none.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    follow(harness.tables, harness.clock, 0.25, (VERSION_ITEM,), 5)
+    harness.clock.advance(5.0)
+    fleet = make_fleet(harness.clock, harness.tables)
+    report = TableRevisions([], 0.0, [PublishedVersion("m", 2, age, observed=False)])
+    fleet.stream_received(Stream(), report)
+    harness.clock.advance(1.5)
+    assert serves_outdated(harness)
