Add a failing test: a version that was replaced before it was seen ends the former one early

An entry that ran all the while counts the limit of a version that it has seen from the earliest process that had it, but that of one that was replaced before from the last confirmation without its successor, as if it had stood still. One row fails: no request is placed on the former version from 4.75 s after the publication on, in place of 7 s.

--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -476,3 +476,22 @@
     fleet.stream_received(Stream(), report)
     harness.clock.advance(1.5)
     assert serves_outdated(harness)
+
+
+@pytest.mark.parametrize(("published_for", "allowed"), [(6.5, True), (7.25, False)])
+def test_entry_that_ran_on_keeps_the_limit_of_a_version_that_it_never_saw(published_for, allowed):
+    """Version 3 replaced version 2 before the answer of the store arrived, 1 s late.
+
+    Another entry has had both from the beginning; none counts as having observed them.
+    """
+    harness = GatewayHarness(endpoints=0, engines=1, decoder=VersionDecoder(), confirmed=False)
+    apply(harness.tables, harness.clock, (OTHER_ITEM,), 4)
+    follow(harness.tables, harness.clock, 3.25, (Item("version/m", 6, b"3"),), 6)
+    harness.clock.advance(published_for - 1.0)
+    fleet = make_fleet(harness.clock, harness.tables)
+    rows = [
+        PublishedVersion("m", 2, published_for, observed=False),
+        PublishedVersion("m", 3, published_for - 0.25, observed=False),
+    ]
+    fleet.stream_received(Stream(), TableRevisions([], 0.0, rows))
+    assert serves_outdated(harness) is allowed
