--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -113,6 +113,7 @@
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
         self._pending_requests: dict[Table, tuple[InstanceId, float]] = {}
+        self._announced: dict[Table, tuple[TablePosition, PeerStream]] = {}
         self._behind_since: dict[Table, tuple[TablePosition, float]] = {}
         self._ticked_at = context.reactor.seconds()
         self._loop = LoopingCall(self._tick)
@@ -267,12 +268,13 @@
         now = self._context.reactor.seconds()
         for row in message.rows:
             table = Table(row.table)
-            cached, announced = self._tables.get_position(table), TablePosition(
-                row.era, row.revision
-            )
+            cached = self._tables.get_position(table)
+            announced = TablePosition(row.era, row.revision)
             if announced == cached:
                 self._tables.confirm(table, cached, now - row.age - stream.max_transit_seconds)
             elif announced > cached:
+                if announced > self._announced.get(table, (cached, stream))[0]:
+                    self._announced[table] = (announced, stream)
                 self._request_changes(stream, table)
             if announced <= cached and self._lacks_version(row):
                 self._request_table(stream, table)
@@ -378,6 +380,16 @@
             self._observer.tables_changed()
             if self._roster.own is not None:
                 self._broadcast(self._make_revision_report())
+        self._request_announced(table)
+
+    def _request_announced(self, table: Table) -> None:
+        """Request what was announced while an earlier change was on its way."""
+        announced = self._announced.pop(table, None)
+        if announced is None or announced[0] <= self._tables.get_position(table):
+            return
+        stream = announced[1]
+        if stream in self._streams.get(stream.peer_id, []):
+            self._request_changes(stream, table)
 
     def _make_revision_report(self) -> TableRevisions:
         now = self._context.reactor.seconds()
@@ -394,10 +406,8 @@
             rows.append(TableRevision(table.value, position.revision, age, position.era, versions))
         published = []
         for wanted in self._tables.list_shared_versions(now):
-            since = wanted.learnt_at if wanted.observed else wanted.known_by
-            published.append(
-                PublishedVersion(wanted.model, wanted.version, now - since, wanted.observed)
-            )
+            age = now - wanted.known_by
+            published.append(PublishedVersion(wanted.model, wanted.version, age, wanted.observed))
         return TableRevisions(rows, now, published)
 
     def _broadcast(self, message: Message) -> None:
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -107,10 +107,10 @@
     `at_start` is set if the version was in the first answer that the process received; `learnt_at`
     is the start time of the process in that case. `followed` is set if this process ran without a
     break since the store last confirmed that the version was not published, at `unpublished_at`;
-    `learnt_at` then stands for the publication. Otherwise it is when the process went on after the
-    break. `reported_at` is the earliest time of publication reported by other processes, and
-    `held_since` the earliest time since which any process, this one included, is known to have the
-    version, so that it was published before; infinite if unknown. Times are in seconds of this
+    `learnt_at` then stands for the publication. Otherwise it is when the process started or went on
+    after the break. `reported_at` is the earliest time of publication reported by other processes,
+    and `held_since` the earliest time since which any process, this one included, is known to have
+    the version, so that it was published before; infinite if unknown. Times are in seconds of this
     process's clock.
     """
 
@@ -164,10 +164,14 @@
     def known_by(self) -> float:
         """The earliest time at which a process is known to have had the version.
 
+        The start of this process and the end of a break may be before the publication.
+
         >>> WantedVersion("m", 2, learnt_at=0.5, at_start=True, held_since=1.0).known_by
         1.0
+        >>> WantedVersion("m", 2, learnt_at=0.5, followed=False, held_since=1.0).known_by
+        1.0
         """
-        learnt_at = inf if self.at_start else self.learnt_at
+        learnt_at = self.learnt_at if self.followed and not self.at_start else inf
         return min(learnt_at, self.reported_at, self.held_since)
 
     @property
@@ -266,7 +270,7 @@
         self._operator_versions: dict[str, int] = {}
         self._is_first_answer = True
         self._ran_at = started_at
-        self._resumed_at = float("-inf")
+        self._resumed_at = started_at
 
     def __repr__(self) -> str:
         version = self.catalogue.version if self.catalogue else None
