--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,7 @@
 RESTORE_RANGE_SECONDS = (0.2, 2.0)  # how long the store is away before it comes back
 REWRITE_RANGE_SECONDS = (0.0, 1.0)  # until the operator and the endpoints write again
 CHANGES_BEFORE_RESTORE_SECONDS = 1.5  # in which keys, routes and endpoints change after the copy
+WRITES_BEFORE_RESTORE = 6
 ORIGIN_OUTAGE_RANGE_SECONDS = (8.0, 14.0)  # around the time limit of the version
 
 
@@ -349,9 +350,12 @@
 def draw_restore(fleet: SoakFleet, rng: Random) -> list[PlannedFault]:
     """Return the faults of a store that comes back from a copy of before some changes, up to twice.
 
-    An entry may be killed, so that it reads the copy as it starts.
+    All items are written several times after the copy, so that revisions go back by more than is
+    written again. An entry may be killed, so that it reads the copy as it starts.
     """
     plan = [PlannedFault(0.0, KeepCopy())]
+    for _ in range(WRITES_BEFORE_RESTORE):
+        plan.append(PlannedFault(rng.uniform(0.1, CHANGES_BEFORE_RESTORE_SECONDS), WriteAgain()))
     for kind in ("key", "route"):
         change = ConfigChange()
         change.kind, change.key = kind, rng.choice(fleet.keys)
