Send no requests to an endpoint that says in a response that it leaves

Callers' requests went on reaching an endpoint for as long as the store's record called it ready, although the endpoint had said `Server-Leaving: 1` in its answers. Such a request runs at an endpoint that may exit under it, and breaks DRAIN once `drain_ms` has passed since the answer was passed on.

Cause: the header was not read. Whether an endpoint leaves was known from the store alone, whose record is older news than the endpoint's own response.

`EndpointNotices` keeps which incarnations have said so; the gateway takes such a one out of the list of its service at once and leaves it out whenever it rebuilds the list. It is keyed by incarnation and apart from the records, so neither a record that changes nor one that vanishes and returns ends it, and a new start is free of it. A 421 is not counted: another endpoint at that address may have answered. Requests in progress go on, those that wait are placed elsewhere by the next tick, or refused as for an endpoint that the store lists as leaving. Nothing is told to other entries.

Ruled out: closing the endpoint's idle connections at once. They are not used, since nothing is sent there, and end after `MAX_IDLE_SECONDS`; closing them would let one broken connection look like the end of the endpoint (`_judge_loss`).

--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -94,8 +94,8 @@
     is set if the response carries the endpoint's seal, `encoded` if its content is encoded, for
     example compressed. `framed` is set if the body has a length or chunks, so that its end does not
     depend on that of the connection. `rate_limit` is how many requests a second the endpoint takes
-    from all entries together, None if it names no limit. `keep_alive` is in seconds, or None if the
-    endpoint sent none.
+    from all entries together, None if it names no limit. `leaving` is set if the endpoint states
+    that it leaves. `keep_alive` is in seconds, or None if the endpoint sent none.
     """
 
     status: int
@@ -106,6 +106,7 @@
     framed: bool
     load: EndpointLoadReport | None
     rate_limit: float | None
+    leaving: bool
     keep_alive: float | None
     version: int | None
     forwarded_headers: Headers
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -53,6 +53,10 @@
     def record_limit(self, state: EndpointState, head: ResponseHead) -> None:
         """Record whether an endpoint names a limit in a response."""
 
+    @abstractmethod
+    def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
+        """Record what an endpoint states about itself in a response."""
+
     @abstractmethod
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record that the connection of an attempt ended before its response was complete.
@@ -222,6 +226,8 @@
         attempt.last_received_at = attempt.progressed_at = attempt.begun_at = now
         attempt.state.record_response_start(self.request, head.load, now)
         self._owner.record_limit(attempt.state, head)
+        if head.status != STATUS_MISDIRECTED:  # otherwise another endpoint may have answered
+            self._owner.record_notices(attempt.state, head)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
             return
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -32,6 +32,7 @@
 )
 from coltsfootshift.gateway.crashes import Suspect
 from coltsfootshift.gateway.endpoint_limits import compute_share
+from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
@@ -135,6 +136,7 @@
         self._queues: dict[ServiceName, ServiceQueue] = {}
         self._exchanges: set[Exchange] = set()
         self._losses: dict[str, _PendingLoss] = {}
+        self._notices = EndpointNotices()
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
         self._own = InstanceId("")
@@ -191,7 +193,7 @@
             if spec is None:
                 continue
             state = self._update_state(name, record, spec)
-            if not record.leaving:
+            if not record.leaving and not self._notices.is_leaving(record.incarnation):
                 by_service.setdefault(record.service, []).append(state)
         for name in [name for name in self._states if name not in self.tables.endpoints]:
             del self._states[name]
@@ -270,6 +272,14 @@
             self.notify_peers(message)
         self._apply_limit(state, now)
 
+    def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
+        """Send no further requests to an endpoint that says that it leaves."""
+        now = self.reactor.seconds()
+        name, service = state.record.incarnation, state.record.service
+        if head.leaving and self._notices.record_leaving(name, head.request, now):
+            states = self._by_service.get(service, [])
+            self._by_service[service] = [s for s in states if s.record.incarnation != name]
+
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record a lost connection, and judge shortly after whether the endpoint has ended."""
         record = state.record
@@ -538,6 +548,8 @@
             self.apply_limits()
         if self.tables.remove_expired(now):
             self.refresh()
+        listed = (record.incarnation for record in self.tables.endpoints.values())
+        self._notices.remove_expired(now, listed)
         self._dispatch_all_queues()
 
     def _record_tick(self, now: float) -> None:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -192,7 +192,7 @@
         self.factory = CallerFactory(self.gateway, self.clock)
         self._dial_count = 0
 
-    def add_endpoint(self, name, service, port, versions=None, leaving=False):
+    def add_endpoint(self, name, service, port, versions=None, leaving=False, born=0):
         self.tables.endpoints[InstanceId(name)] = EndpointRecord(
             InstanceId(name),
             ServiceName(service),
@@ -200,6 +200,7 @@
             FailureDomain("a"),
             6,
             leaving=leaving,
+            born=born,
             versions=versions or {},
         )
 
