Send an endpoint no requests within the time that it names in a 503

An endpoint that turned a request away with 503 and `Retry-After` got the next ones 50 ms later, since the entry only backs off for one scheduler pass of an engine. Callers' requests were sent there to be refused again and lost time, or were held in the queue for an endpoint that was known not to take them, until they were late.

Cause: the header was not read, and the backoff that stood in its place is ended by a changed record, and lost when the record vanishes and returns.

`EndpointNotices` keeps until when an incarnation wants no requests; `EndpointState.paused_until` is that time and only grows. A paused endpoint has no capacity, so the tick dispatches what waits when the pause ends.

It is known when a pause ends, so a request that can't be served in time is refused at once: `SlotForecast` counts the slots of each endpoint from the end of its pause, and the tick refuses what waits and whose endpoints have all become paused beyond its time, also because the one without a pause has left. The time to return is that of the first slot, within what callers honour. Without pauses the forecast is the interval used before, times the requests ahead; the tests of the queue pass it in that form.

A retry avoids endpoints that it has tried. They were allowed again once as many had been tried as there are candidates, which counts endpoints that are no candidates any more, and would wait for an untried one whose pause outlasts the request. They are allowed again now if every candidate was tried or is paused for too long.

Ruled out: keeping the time in `backoff_until` (ended by changed versions), and adding the rest of the pause to `predict_start`, which is the time from sending on and sets the time by which a queued request has to be sent.

--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -95,7 +95,8 @@
     example compressed. `framed` is set if the body has a length or chunks, so that its end does not
     depend on that of the connection. `rate_limit` is how many requests a second the endpoint takes
     from all entries together, None if it names no limit. `leaving` is set if the endpoint states
-    that it leaves. `keep_alive` is in seconds, or None if the endpoint sent none.
+    that it leaves. `retry_after` is for how many seconds the endpoint wants no request, and
+    `keep_alive` is in seconds too; both are None if the endpoint sent none.
     """
 
     status: int
@@ -107,6 +108,7 @@
     load: EndpointLoadReport | None
     rate_limit: float | None
     leaving: bool
+    retry_after: float | None
     keep_alive: float | None
     version: int | None
     forwarded_headers: Headers
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -9,9 +9,10 @@
 from coltsfootshift.gateway.calls import EndpointLoadReport
 from coltsfootshift.gateway.endpoint_limits import RateShare
 from coltsfootshift.gateway.model import EndpointRecord, EngineSpec
+from coltsfootshift.gateway.waiting import SlotForecast
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId
 
-__all__ = ["EndpointState", "Placement", "WorkSize"]
+__all__ = ["EndpointState", "Placement", "WorkSize", "forecast_slots"]
 
 # Under overload, a half-life of 1 s lets every entry overfill the endpoints.
 OTHERS_LOAD_HALF_LIFE_SECONDS = 20.0
@@ -28,6 +29,7 @@
 # as it processes at once.
 PLAIN_QUEUE_FACTOR = 2.0
 PLAIN_WORK_SECONDS = 0.03  # assumed until requests have been measured
+MIN_DEPARTURE_RATE = 0.01  # of a service whose endpoints name a limit of zero
 PLAIN_WORK_EMA_WEIGHT = 0.05  # weight of the latest request in the moving average
 
 
@@ -52,6 +54,9 @@
     The entry counts its own requests in flight exactly. The load of the other entries is taken
     from the load reports in responses, which lag: it is the reported total less the own requests
     at that time, and decays as the report ages.
+
+    Until `paused_until` the endpoint wants no requests from this entry; unlike the backoff, nothing
+    that happens before shortens it.
     """
 
     def __init__(self, record: EndpointRecord, spec: EngineSpec | None) -> None:
@@ -61,6 +66,7 @@
         self._rate_share: RateShare | None = None
         self.failure_rate = 0.0
         self.backoff_until = 0.0
+        self.paused_until = 0.0
         self._in_flight: dict[RequestId, _InFlightAttempt] = {}
         self._others_load = 0.0
         self._reported_at = 0.0
@@ -116,7 +122,7 @@
         A request that is already late may fill only `LATE_CAPACITY_SHARE` of the slots; the others
         are left to requests that can still be in time.
         """
-        if now < self.backoff_until or (self._probing and self._in_flight):
+        if now < max(self.backoff_until, self.paused_until) or (self._probing and self._in_flight):
             return False
         if self._rate_share is not None and not self._rate_share.has_room(now):
             return False
@@ -220,6 +226,15 @@
     return residence_seconds / spec.slots
 
 
+def forecast_slots(states: Iterable[EndpointState], entry_count: int, now: float) -> SlotForecast:
+    """Return when slots of the endpoints are expected to become free for one of the entries."""
+    rows = []
+    for state in states:
+        rate = state.compute_departure_rate() / entry_count
+        rows.append((max(0.0, state.paused_until - now), rate))
+    return SlotForecast(rows, MIN_DEPARTURE_RATE / entry_count)
+
+
 class Placement:
     """Chooses the endpoint whose response is expected to start first.
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from math import isfinite
 from random import Random
 from typing import Any
@@ -36,9 +37,14 @@
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
-from coltsfootshift.gateway.placement import EndpointState, Placement
+from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
 from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
-from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
+from coltsfootshift.gateway.waiting import (
+    MAX_LATE_WAIT_SECONDS,
+    QueuedRequest,
+    ServiceQueue,
+    draw_retry_after,
+)
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Message
@@ -55,11 +61,11 @@
 # A deadline below this share of the longest seen on the route indicates a caller's retry.
 RETRY_DEADLINE_RATIO = 0.9
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
+STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
 ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
-MIN_DEPARTURE_RATE = 0.01  # of a service whose endpoints name a limit of zero
 
 logger = get_logger("gateway")
 
@@ -273,9 +279,14 @@
         self._apply_limit(state, now)
 
     def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
-        """Send no further requests to an endpoint that says that it leaves."""
+        """Keep requests from an endpoint that leaves, or that wants none for a while."""
         now = self.reactor.seconds()
         name, service = state.record.incarnation, state.record.service
+        if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
+            self._notices.record_pause(name, head.request, now + head.retry_after, now)
+            current = self._states.get(state.record.endpoint)  # the record may have been replaced
+            if current is not None and current.record.incarnation == name:
+                current.paused_until = max(current.paused_until, now + head.retry_after)
         if head.leaving and self._notices.record_leaving(name, head.request, now):
             states = self._by_service.get(service, [])
             self._by_service[service] = [s for s in states if s.record.incarnation != name]
@@ -389,6 +400,7 @@
         if state is None:
             state = EndpointState(record, spec.engine)
             self._states[name] = state
+            state.paused_until = self._notices.get_pause_end(record.incarnation)
             self._apply_limit(state, self.reactor.seconds())
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
@@ -437,9 +449,7 @@
 
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
-        tried = exchange.tried
-        if exchange.send_count and len(tried) >= len(states):
-            tried = set()
+        tried = self._list_avoided(exchange, states)
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
         state = self._placement.choose(
             open_states, exchange.size, tried, self._is_likely_retry(exchange), now
@@ -449,6 +459,15 @@
         self._send(exchange, state, now)
         return True
 
+    def _list_avoided(self, exchange: Exchange, states: list[EndpointState]) -> set[InstanceId]:
+        """Return the endpoints that were tried, or none if no other takes the request in time."""
+        admission = exchange.admission
+        latest = min(admission.expires_at, admission.arrived_at + MAX_LATE_WAIT_SECONDS)
+        for state in states:
+            if state.record.endpoint not in exchange.tried and state.paused_until <= latest:
+                return exchange.tried
+        return set()
+
     def _send(self, exchange: Exchange, state: EndpointState, now: float) -> None:
         admission, record = exchange.admission, state.record
         min_version = self._find_min_version(exchange, now)
@@ -505,7 +524,7 @@
         queued = QueuedRequest(
             exchange, admission.priority, admission.arrived_at, send_by, admission.expires_at, late
         )
-        refusal = queue.offer(queued, self._compute_slot_interval(states), now)
+        refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now)
         if refusal is not None:
             exchange.refuse(refusal)
             return
@@ -525,17 +544,20 @@
         self._longest_deadlines[name] = longest
         return deadline < RETRY_DEADLINE_RATIO * longest
 
-    def _compute_slot_interval(self, states: list[EndpointState]) -> float:
-        """Return the expected seconds between two slots that become free for this entry."""
-        rate = sum(state.compute_departure_rate() for state in states)
-        return self._entry_count / max(MIN_DEPARTURE_RATE, rate)
+    def _estimate_pause(self, exchange: Exchange, now: float) -> float:
+        """Return for how many seconds all endpoints that can serve a request are paused."""
+        ends = [state.paused_until for state in self._list_candidates(exchange, now)]
+        return max(0.0, min(ends, default=0.0) - now)
 
     def _tick(self) -> None:
         now = self.reactor.seconds()
         self._record_tick(now)
         self.tables.record_running(now)
+        estimate_pause = None
+        if self._notices.has_pauses(now):
+            estimate_pause = partial(self._estimate_pause, now=now)
         for queue in self._queues.values():
-            for queued, refusal in list(queue.expire(now)):
+            for queued, refusal in list(queue.expire(now, estimate_pause)):
                 queued.item.refuse(refusal)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import heapq
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from random import Random
 from typing import Any
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["QueuedRequest", "ServiceQueue", "draw_retry_after"]
+__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "draw_retry_after"]
 
 MAX_LATE_WAIT_SECONDS = 1.0  # maximum wait of a request that is already late
 # Overload lasts longer than one slot takes to become free; an earlier retry would be refused too.
@@ -38,6 +38,41 @@
     open: bool = True
 
 
+class SlotForecast:
+    """When slots come free for this entry, while some endpoints are paused.
+
+    It is made of the seconds until each endpoint may be sent requests, and of the slots a second
+    that come free there for this entry from then on. `min_rate` is assumed if all rates are lower.
+
+    >>> forecast = SlotForecast([(0.0, 1.0), (2.0, 3.0)])
+    >>> [forecast.find_wait(count) for count in (0, 1, 2, 6)]
+    [0.0, 1.0, 2.0, 3.0]
+    >>> SlotForecast([(0.5, 10.0)]).find_wait(1)
+    0.6
+    """
+
+    def __init__(self, endpoints: Iterable[tuple[float, float]], min_rate: float = 0.001) -> None:
+        rates: dict[float, float] = {}
+        for delay, rate in endpoints:
+            rates[delay] = rates.get(delay, 0.0) + rate
+        self._rates = sorted(rates.items())
+        self._min_rate = min_rate
+
+    def __repr__(self) -> str:
+        return f"SlotForecast({self._rates!r})"
+
+    def find_wait(self, count: int) -> float:
+        """Return the expected seconds until `count` slots have come free."""
+        since = rate = freed = 0.0
+        for delay, added in self._rates:
+            freed_before = freed + (delay - since) * rate
+            if rate > 0.0 and freed_before >= count:
+                break
+            since, freed = delay, freed_before
+            rate += added
+        return since + (count - freed) / max(self._min_rate, rate)
+
+
 class ServiceQueue:
     """The queued requests of one service, ordered by lateness, priority and `send_by`.
 
@@ -54,37 +89,41 @@
     def __len__(self) -> int:
         return sum(1 for row in self._heap if row[-1].open)
 
-    def offer(self, request: QueuedRequest, interval: float, now: float) -> NotRun | None:
-        """Queue a request, or return why it is refused.
-
-        `interval` is the expected time in seconds between two slots that come free for this entry.
-        """
+    def offer(self, request: QueuedRequest, slots: SlotForecast, now: float) -> NotRun | None:
+        """Queue a request, or return why it is refused."""
         ahead = self._count_ahead(request)
-        expected = now + (ahead + 1) * interval
+        wait = slots.find_wait(ahead + 1)
         latest = request.send_by
         if request.late:
             latest = min(request.expires_at, request.arrived_at + MAX_LATE_WAIT_SECONDS)
-        if expected > latest:
-            reason = f"no place in time: {ahead} ahead, one leaves in {interval:.3f} s"
-            return self._make_refusal(reason, request, len(self._heap) * interval, now)
+        if now + wait > latest:
+            reason = f"no place in time: {ahead} ahead, a place in {wait:.3f} s"
+            expected_wait = slots.find_wait(len(self._heap))
+            return self._make_refusal(reason, request, expected_wait, now)
         self._sequence += 1
         row = (request.late, request.priority, request.send_by, self._sequence, request)
         heapq.heappush(self._heap, row)
         return None
 
-    def expire(self, now: float) -> Iterator[tuple[QueuedRequest, NotRun]]:
-        """Remove the requests that can no longer be sent in time and yield them with refusals."""
+    def expire(
+        self, now: float, estimate_pause: Callable[[Any], float] | None = None
+    ) -> Iterator[tuple[QueuedRequest, NotRun]]:
+        """Remove the requests that can no longer be sent in time and yield them with refusals.
+
+        `estimate_pause` returns for how many seconds all endpoints for an item are paused.
+        """
         kept = []
         for row in self._heap:
             request = row[-1]
             latest = request.arrived_at + MAX_LATE_WAIT_SECONDS if request.late else request.send_by
             if not request.open:
                 continue
-            if now <= latest:
+            pause = estimate_pause(request.item) if estimate_pause is not None else 0.0
+            if now + pause <= latest:
                 kept.append(row)
                 continue
             request.open = False
-            yield request, self._make_refusal("no place came free in time", request, 0.0, now)
+            yield request, self._make_refusal("no place came free in time", request, pause, now)
         heapq.heapify(kept)
         self._heap = kept
 
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -10,7 +10,12 @@
 
 from coltsfootshift.gateway.budget import RetryBudget
 from coltsfootshift.gateway.events import EventStreamBuffer
-from coltsfootshift.gateway.waiting import MAX_LATE_WAIT_SECONDS, QueuedRequest, ServiceQueue
+from coltsfootshift.gateway.waiting import (
+    MAX_LATE_WAIT_SECONDS,
+    QueuedRequest,
+    ServiceQueue,
+    SlotForecast,
+)
 from coltsfootshift.ids import ServiceName
 from coltsfootshift.outcomes import NotRun
 
@@ -88,11 +93,11 @@
     ],
 )
 def test_what_cannot_be_sent_in_time_is_refused_on_arrival(queued, offered, refused):
-    queue = ServiceQueue(Random(1))
+    queue, slots = ServiceQueue(Random(1)), SlotForecast([(0.0, 10.0)])
     for number in range(queued):
         send_by = max(0.31, 0.1 * (number + 1) + 0.01)
-        assert queue.offer(make_queued(number, send_by=send_by), 0.1, 0.0) is None
-    refusal = queue.offer(offered, 0.1, 0.0)
+        assert queue.offer(make_queued(number, send_by=send_by), slots, 0.0) is None
+    refusal = queue.offer(offered, slots, 0.0)
     assert (refusal is not None) is refused
     if refusal is not None:
         assert isinstance(refusal, NotRun) and 0.0 < refusal.retry_after <= 2.0
@@ -107,7 +112,7 @@
         make_queued("urgent", priority=0, send_by=3.0),
     ]
     for row in rows:
-        assert queue.offer(row, 0.01, 0.0) is None
+        assert queue.offer(row, SlotForecast([(0.0, 100.0)]), 0.0) is None
     order = []
     while (request := queue.peek()) is not None:
         order.append(request.item)
@@ -121,7 +126,7 @@
 )
 def test_requests_leave_the_queue_as_soon_as_they_cannot_be_sent_in_time(late, now, expired):
     queue = ServiceQueue(Random(1))
-    queue.offer(make_queued("x", late=late), 0.01, 0.0)
+    queue.offer(make_queued("x", late=late), SlotForecast([(0.0, 100.0)]), 0.0)
     assert len(list(queue.expire(now))) == expired
     assert len(queue) == 1 - expired
 
