Soak: endpoints say that they leave and ask for pauses, and the ledger judges both

The soak's endpoints told only the store that they leave, and refused without a time. Now `Drain` makes an endpoint say so in its answers, whether or not the store lists it as draining; a new start ends it. A full endpoint or engine adds `Retry-After` of 0.2 to 3 s. Each request that reaches one is recorded with what its answer states.

The ledger holds each entry to what it was told: no request sent 0.5 s or more after it had passed on that an endpoint leaves, and at most two between 0.5 s after a 503 and the end of the time named there. Entries that were disrupted meanwhile are excused; a pause also with disrupted links or store, and within 3 s of the endpoint's start, which the entry may not know of yet. Rows of tests/test_soak.py show what is judged and what is not.

--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -15,11 +15,12 @@
     make_chunk,
 )
 
-from soak.ledger import EVENTS_PER_STREAM, Ledger, Run, make_answer, make_event
+from soak.ledger import EVENTS_PER_STREAM, Arrival, Ledger, Run, make_answer, make_event
 
 SERVICE_SECONDS = 0.03
 EVENT_INTERVAL_SECONDS = 0.02
 LOAD_SECONDS = 0.3
+RETRY_AFTER_RANGE_SECONDS = (0.2, 3.0)
 
 
 class Mode(Enum):
@@ -33,27 +34,55 @@
     )
 
 
-class SoakEndpoint(StandIn):
-    """An endpoint of the plain service."""
+class SoakBackend(StandIn):
+    """States in its answers that it leaves, and while full for how long it wants no requests."""
 
-    def __init__(self, name: str, ledger: Ledger, rng: Random) -> None:
+    def __init__(self, name: str, ledger: Ledger, rng: Random, **fields) -> None:
         self.name = name
         self.mode = Mode.HEALTHY
+        self.leaving = False
+        self.born = int(time.time() * 1000)
+        self._started_at = time.monotonic()
         self._ledger = ledger
         self._rng = rng
-        super().__init__()
+        super().__init__(**fields)
+
+    def restart(self) -> None:
+        """Simulate a new start under the same name."""
+        self.leaving = False
+        self.born += 1000
+        self._started_at = time.monotonic()
+
+    def make_headers(self, request: str) -> dict[str, str]:
+        """Record that a request has arrived; return the headers of its answer."""
+        headers = {"X-Attempt-Id": request}
+        retry_after = 0.0
+        if self.leaving:
+            headers["Server-Leaving"] = "1"
+        if self.mode is Mode.FULL:
+            retry_after = round(self._rng.uniform(*RETRY_AFTER_RANGE_SECONDS), 2)
+            headers["Retry-After"] = str(retry_after)
+        incarnation, now = f"{self.name}/{self.born}", time.monotonic()
+        row = Arrival(request, incarnation, now, now - self._started_at, self.leaving, retry_after)
+        self._ledger.record_arrival(row)
+        return headers
+
+
+class SoakEndpoint(SoakBackend):
+    """An endpoint of the plain service."""
 
     def handle(self, method, path, query, body, headers):
         fields = {name.lower(): value for name, value in headers.items()}
         if fields.get("x-expect-instance") != self.name:
             return 421, b"", {"X-Instance-Id": self.name}
         request = fields["x-attempt-id"]
-        if self.mode is Mode.FULL:
-            return 503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": request}
+        answer = self.make_headers(request)
+        if "Retry-After" in answer:
+            return 503, b"", {**answer, "X-Not-Executed": "1"}
         run = Run(self.name, 0, fields.get("x-tenant", ""), body, time.monotonic())
         self._ledger.record_run(request, run)
         time.sleep(SERVICE_SECONDS)
-        answer = {"X-Attempt-Id": request, "X-Response-Seal": "seal"}
+        answer["X-Response-Seal"] = "seal"
         fails = self._rng.random() < 0.5
         if fails and self.mode is Mode.FAILING:
             return 500, b"failed", answer
@@ -62,22 +91,18 @@
         return 200, make_answer(self.name, request), answer
 
 
-class SoakEngine(EngineStandIn):
+class SoakEngine(SoakBackend, EngineStandIn):
     """A model engine that streams events, resumes streams and loads staged weights."""
 
     def __init__(self, name: str, ledger: Ledger, rng: Random) -> None:
-        self.name = name
-        self.mode = Mode.HEALTHY
-        self._ledger = ledger
-        self._rng = rng
         self._busy_until = 0.0
-        super().__init__(staged=1)
+        super().__init__(name, ledger, rng, staged=1)
 
     def restart(self) -> None:
         """Simulate a restart, which loses all loaded and staged weights."""
         self.staged, self.loaded, self.orders = {}, {}, []
         self.version = 0
-        self.born += 1000
+        super().restart()
 
     def handle(self, method, path, query, body, headers):
         if path.startswith("/api/"):
@@ -91,12 +116,12 @@
         if misrouted or not version:
             return 421, b"", {"X-Instance-Id": self.name}
         request = fields["x-attempt-id"]
-        if self.mode is Mode.FULL or time.monotonic() < self._busy_until:
-            return 503, b"", {"X-Not-Executed": "1", "X-Attempt-Id": request}
+        answer = self.make_headers(request)
+        if "Retry-After" in answer or time.monotonic() < self._busy_until:
+            return 503, b"", {**answer, "X-Not-Executed": "1"}
         run = Run(self.name, version, fields.get("x-tenant", ""), body, time.monotonic())
         self._ledger.record_run(request, run)
-        answer = {
-            "X-Attempt-Id": request,
+        answer |= {
             "X-Response-Seal": "seal",
             "X-Weight-Versions": str(version),
             "Content-Type": "text/event-stream",
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -85,6 +85,7 @@
         response = connection.getresponse()
         call.status = response.status
         call.sealed = response.getheader("X-Response-Seal") is not None
+        call.told_leaving = response.getheader("Server-Leaving") is not None
         try:
             while data := response.read1():
                 call.answer += data
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -190,19 +190,26 @@
 
 
 class Drain(Fault):
-    """Marks an endpoint as draining, then as ready again."""
+    """Makes an endpoint state in its answers that it leaves, then starts it again.
+
+    The store lists it as draining at once, or not at all.
+    """
 
     def choose(self, fleet: SoakFleet, rng: Random) -> None:
-        self.name = rng.choice(fleet.endpoints).name
+        self.endpoint = rng.choice(fleet.endpoints)
+        self.listed = int(self.seconds * 1000) % 2 == 0
 
     def begin(self, fleet: SoakFleet) -> None:
-        fleet.list_endpoint(self.name, state="draining")
+        self.endpoint.leaving = True
+        if self.listed:
+            fleet.list_endpoint(self.endpoint.name, state="draining")
 
     def end(self, fleet: SoakFleet) -> None:
-        fleet.list_endpoint(self.name)
+        self.endpoint.restart()
+        fleet.list_endpoint(self.endpoint.name)
 
     def __repr__(self) -> str:
-        return f"Drain({self.name}, {self.seconds:.1f} s)"
+        return f"Drain({self.endpoint.name}, listed={self.listed}, {self.seconds:.1f} s)"
 
 
 class EngineRestart(Fault):
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -13,6 +13,10 @@
 EVENTS_PER_STREAM = 12
 SETTLE_SECONDS = 3.0  # `contact_ms` of the processes
 VERSION_BOUND_SECONDS = 8.0  # `version_ms` of the processes
+# Entries act on a statement of leaving at once; the time covers delays on a busy machine.
+LEAVING_BOUND_SECONDS = 0.5
+PAUSE_TOLERANCE_SECONDS = 0.5  # after a 503 with `Retry-After`
+MAX_REQUESTS_IN_PAUSE = 2
 STORE = "store"  # names the store and the links to it in disruptions
 
 
@@ -45,6 +49,7 @@
     answer: bytes = b""
     sealed: bool = False
     complete: bool = False
+    told_leaving: bool = False
     ended_at: float = 0.0
 
 
@@ -59,6 +64,22 @@
     started_at: float
 
 
+@dataclass(frozen=True)
+class Arrival:
+    """A request that has reached a start of an endpoint, and what its answer states.
+
+    `age` is how long the endpoint has been up then. `retry_after` is 0 if the answer is no 503 with
+    that header. Times are in seconds.
+    """
+
+    request: str
+    incarnation: str
+    at: float
+    age: float
+    leaving: bool = False
+    retry_after: float = 0.0
+
+
 @dataclass
 class Ledger:
     """Records events of all threads; call `list_violations` after all processes have ended.
@@ -71,6 +92,7 @@
     revocation_bound: float
     calls: dict[str, Call] = field(default_factory=dict)
     runs: dict[str, list[Run]] = field(default_factory=dict)
+    arrivals: list[Arrival] = field(default_factory=list)
     revoked: dict[str, float] = field(default_factory=dict)
     versions: list[tuple[int, float]] = field(default_factory=list)
     disruptions: list[tuple[str, float, float]] = field(default_factory=list)
@@ -87,6 +109,11 @@
         with self.lock:
             self.runs.setdefault(request, []).append(run)
 
+    def record_arrival(self, arrival: Arrival) -> None:
+        """Record that a request has reached an endpoint, whether or not that runs it."""
+        with self.lock:
+            self.arrivals.append(arrival)
+
     def record_revocation(self, key: str) -> None:
         """Record that the store has accepted a configuration without this API key."""
         with self.lock:
@@ -126,8 +153,57 @@
             found += [
                 f"{call.request} ({call.kind.value}): {t}" for t in self._check_response(call)
             ]
+        return found + self._check_statements()
+
+    def _check_statements(self) -> list[str]:
+        """Check that entries keep to what each endpoint has stated to them."""
+        found = []
+        groups: dict[tuple[str, str], list[Arrival]] = {}
+        last_arrivals: dict[str, Arrival] = {}
+        for arrival in self.arrivals:
+            last_arrivals[arrival.request] = arrival
+            if arrival.request in self.calls:
+                entry = self.calls[arrival.request].entry
+                groups.setdefault((entry, arrival.incarnation), []).append(arrival)
+        for (entry, incarnation), arrivals in groups.items():
+            for told in arrivals:
+                text = ""
+                if told.leaving and last_arrivals[told.request] is told:
+                    text = self._check_leaving(entry, told, arrivals)
+                if told.retry_after and not text:
+                    text = self._check_pause(entry, told, arrivals)
+                if text:
+                    found.append(f"{incarnation}, told to {entry} by {told.request}: {text}")
+                    break
         return found
 
+    def _check_leaving(self, entry: str, told: Arrival, arrivals: list[Arrival]) -> str:
+        """Check that no request is sent to an endpoint after its statement was passed on."""
+        call = self.calls[told.request]
+        if not call.told_leaving:
+            return ""
+        for arrival in arrivals:
+            after = self.calls[arrival.request].sent_at - call.ended_at
+            if after > LEAVING_BOUND_SECONDS and not self._is_disrupted(
+                {entry}, call.ended_at, arrival.at
+            ):
+                return f"it leaves, and got {arrival.request}, sent {after:.2f} s after"
+        return ""
+
+    def _check_pause(self, entry: str, told: Arrival, arrivals: list[Arrival]) -> str:
+        """Check that an endpoint gets almost no requests in a pause that it has asked for.
+
+        An entry may not know yet that the endpoint has started again.
+        """
+        since, until = told.at + PAUSE_TOLERANCE_SECONDS, told.at + told.retry_after
+        names = {entry, told.incarnation.partition("/")[0], STORE}
+        if told.age < SETTLE_SECONDS or self._is_disrupted(names, told.at, until):
+            return ""
+        count = sum(1 for arrival in arrivals if since < arrival.at < until)
+        if count > MAX_REQUESTS_IN_PAUSE:
+            return f"it wants nothing for {told.retry_after} s, and got {count} requests"
+        return ""
+
     def _check_runs(self, call: Call, runs: list[Run]) -> list[str]:
         found = []
         if len(runs) > call.kind.max_attempts:
@@ -174,9 +250,11 @@
                 since = max(since, end)
         return since + VERSION_BOUND_SECONDS
 
-    def _is_disrupted(self, names: set[str], at: float) -> bool:
+    def _is_disrupted(self, names: set[str], at: float, end: float | None = None) -> bool:
+        """Return whether any of the names was disrupted at a time, or until `end`."""
         return any(
-            name in names and since <= at <= until for name, since, until in self.disruptions
+            name in names and since <= (at if end is None else end) and at <= until
+            for name, since, until in self.disruptions
         )
 
     def _check_response(self, call: Call) -> list[str]:
--- a/tests/soak/members.py
+++ b/tests/soak/members.py
@@ -270,7 +270,8 @@
             if engine.name == name:
                 fields = {"born": engine.born, "models": engine.describe()["models"]}
                 return make_record(ENGINE_SERVICE, self._addresses[name], state=state, **fields)
-        return make_record(PLAIN_SERVICE, self._addresses[name], state=state)
+        born = next(endpoint.born for endpoint in self.endpoints if endpoint.name == name)
+        return make_record(PLAIN_SERVICE, self._addresses[name], state=state, born=born)
 
     def _write(self, name: str, fields: dict | None) -> None:
         self._listed[name] = fields or {}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -14,6 +14,7 @@
 from soak.ledger import (
     EVENTS_PER_STREAM,
     STORE,
+    Arrival,
     Call,
     Kind,
     Ledger,
@@ -165,3 +166,62 @@
     ledger.record_run(call.request, Run("e-1", version, "team-1", b"b", started_at))
     found = ledger.list_violations()
     assert (found == []) if not late else (len(found) == 1 and late in found[0])
+
+
+@pytest.mark.parametrize(
+    ("told", "sent_at", "disruptions", "broken"),
+    [
+        (True, 10.7, [], "it leaves, and got r-2, sent 0.60 s after"),
+        (True, 10.5, [], ""),
+        (False, 10.7, [], ""),
+        (True, 10.7, [("entry-1", 10.2, 10.3)], ""),
+        (True, 10.7, [("entry-1", 9.0, 10.0)], "sent 0.60 s after"),
+        (True, 10.7, [("entry-2", 10.2, 10.3), (STORE, 10.2, 10.3)], "sent 0.60 s after"),
+    ],
+    ids=["late", "at once", "not passed on", "paused since", "paused before", "others paused"],
+)
+@pytest.mark.parametrize(
+    ("incarnation", "entry", "judged"),
+    [("e-1/7", "entry-1", True), ("e-1/8", "entry-1", False), ("e-1/7", "entry-2", False)],
+    ids=["same start", "new start", "another entry"],
+)
+def test_ledger_judges_leaving(told, sent_at, disruptions, broken, incarnation, entry, judged):
+    """The statement was passed on at 10.1 s."""
+    ledger = Ledger({"key-1": "team-1"}, revocation_bound=3.0)
+    ledger.disruptions = disruptions
+    ledger.record_call(make_call(status=502, told_leaving=told))
+    ledger.record_arrival(Arrival("r-1", "e-1/7", 10.05, 9.0, leaving=True))
+    ledger.record_call(make_call(request="r-2", entry=entry, sent_at=sent_at, status=502))
+    ledger.record_arrival(Arrival("r-2", incarnation, sent_at + 0.1, 9.0))
+    found = ledger.list_violations()
+    broken = broken if judged else ""
+    assert (found == []) if not broken else (len(found) == 1 and broken in found[0])
+
+
+@pytest.mark.parametrize(
+    ("ages", "age", "disruptions", "broken"),
+    [
+        ((0.6, 0.9, 1.9), 9.0, [], "it wants nothing for 2.0 s, and got 3 requests"),
+        ((0.6, 0.9), 9.0, [], ""),
+        ((0.1, 0.2, 0.3, 0.4, 0.6, 0.9), 9.0, [], ""),
+        ((0.6, 0.9, 2.1, 2.2), 9.0, [], ""),
+        ((0.6, 0.9, 1.9), 2.9, [], ""),
+        ((0.6, 0.9, 1.9), 9.0, [("entry-1", 10.5, 11.0)], ""),
+        ((0.6, 0.9, 1.9), 9.0, [("e-1", 9.0, 10.5)], ""),
+        ((0.6, 0.9, 1.9), 9.0, [(STORE, 9.0, 10.5)], ""),
+        ((0.6, 0.9, 1.9), 9.0, [("entry-2", 10.5, 11.0), ("e-2", 9.0, 10.5)], "got 3"),
+        ((0.6, 0.9, 1.9), 9.0, [("entry-1", 12.1, 13.0)], "got 3"),
+    ],
+)
+def test_ledger_judges_pauses(ages, age, disruptions, broken):
+    """The endpoint asked for 2 s at 10.0 s; `ages` are the arrivals' times from then on."""
+    ledger = Ledger({"key-1": "team-1"}, revocation_bound=3.0)
+    ledger.disruptions = disruptions
+    for number, after in enumerate((0.0, *ages)):
+        request = f"r-{number}"
+        ledger.record_call(make_call(request=request, status=502))
+        retry_after = 0.0 if number else 2.0
+        row = Arrival(request, "e-1/7", 10.0 + after, age, retry_after=retry_after)
+        ledger.record_arrival(row)
+    found = ledger.list_violations()
+    assert (found == []) if not broken else (len(found) == 1 and broken in found[0])
