Answer every request before a leaving entry stops

What callers saw: an entry that was asked to stop ended 0.7 s before grace_s, and closed the connections of all unfinished requests without an answer. That held for requests that waited for a free endpoint and would never run, and for those that may not be repeated (LOST).

Cause: the process stopped its reactor at the end of the grace whatever was in flight; nothing gave a request an outcome. Only a request's own deadline ended it, which may lie far behind the stop.

Now every request whose response has not begun is ended 0.7 s before the process is killed: 503 where it has not been sent to an endpoint, else 504. Responses that have begun go on for half of the time left, and are then aborted, so that they do not look complete: the connections are reset before the reactor stops, where an end of stream could pass for the end of a response. Margins of a short grace are shares of it; the end lies in its last sixth, as endpoints may be silent until then.

Evidence: in tests/test_gateway_leaving.py all 15 rows of the silent endpoint failed before ("assert 0 == 504"), also that of the waiting request ([0, 0, ...] for [504, ..., 503]) and of the stream (closed, not aborted). With real processes and a grace of 3 s: "http.client.RemoteDisconnected: Remote end closed connection without response".

Ruled out: the route's timeout and the caller's deadline, which ended their requests with an answer.

--- /dev/null
+++ b/src/coltsfootshift/gateway/departure.py
@@ -0,0 +1,43 @@
+"""When a leaving process answers what is unfinished and stops."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["StopSchedule"]
+
+# Answers that are due at the end need time to be written; a process needs time to end.
+MAX_ANSWER_MARGIN_SECONDS = 0.7
+MAX_ANSWER_MARGIN_SHARE = 1 / 6
+STOP_MARGIN_SHARE = 1 / 2  # of the margin for answers
+
+
+@dataclass(frozen=True, slots=True)
+class StopSchedule:
+    """What a process may still do, and until when, after it was asked to stop at `began_at`.
+
+    The platform kills the process `stop_within` seconds later. The times are in seconds of the
+    clock of `began_at`.
+
+    >>> schedule = StopSchedule(began_at=100.0, stop_within=8.0)
+    >>> schedule.answer_by, schedule.stop_by
+    (107.3, 107.65)
+    """
+
+    began_at: float
+    stop_within: float
+
+    @property
+    def answer_by(self) -> float:
+        """When every request whose response has not begun gets a final answer."""
+        return round(self.began_at + self.stop_within - self._answer_margin, 3)
+
+    @property
+    def stop_by(self) -> float:
+        """When the process stops, even if responses that have begun are unfinished."""
+        margin = STOP_MARGIN_SHARE * self._answer_margin
+        return round(self.began_at + self.stop_within - margin, 3)
+
+    @property
+    def _answer_margin(self) -> float:
+        return min(MAX_ANSWER_MARGIN_SECONDS, MAX_ANSWER_MARGIN_SHARE * self.stop_within)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -434,16 +434,25 @@
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
+        self.give_up("the deadline has passed", "deadline")
+
+    def give_up(self, reason: str, outcome: str = "") -> None:
+        """End the exchange now: as not run if that is certain, else as unknown or broken off.
+
+        `outcome` is the text of the log line, by default the reason.
+        """
+        if self.ended:
+            return
         if self._attempt is not None and not self._outbound.sent:
             self.possible_runs -= 1
         self._cancel_attempt()
-        self._close("deadline")
+        self._close(outcome or reason)
         if self.response_started:
             self.incoming.abort()
         elif self.possible_runs > 0:
-            self._owner.send_refusal(self, Unknown("the deadline has passed", status=504))
+            self._owner.send_refusal(self, Unknown(reason, status=504))
         else:
-            self._owner.send_refusal(self, NotRun("the deadline has passed", retry_after=0.0))
+            self._owner.send_refusal(self, NotRun(reason, retry_after=0.0))
 
     def _on_caller_disconnect(self) -> None:
         """Cancel everything in progress when the caller has disconnected."""
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -22,6 +22,7 @@
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
+from coltsfootshift.gateway.departure import StopSchedule
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_entry_row
 from coltsfootshift.gateway.rollout import RolloutTask
@@ -56,7 +57,6 @@
 PLACEHOLDER_SECRET = "the platform gives its processes no secret"
 # Callers keep using a cached address for about two lifetimes of a directory answer.
 ACCEPT_AFTER_LEAVING_SECONDS = 4.0
-STOP_MARGIN_SECONDS = 0.7  # stop this long before the platform kills the process
 DRAIN_CHECK_INTERVAL_SECONDS = 0.1
 STARTUP_SECONDS = 1.0  # interpreter start and imports take 0.5 s on a shared machine
 # Readers confirm the table with the store every 1.5 s and gossip every 0.5 s; all entries must
@@ -114,7 +114,7 @@
         self.roster = roster
         self.beliefs = SharedBeliefs(self.choose_judging_start())
         self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
-        self.leaving_since: float | None = None
+        self.departure: StopSchedule | None = None
         self.started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         self._incarnation = make_incarnation()
         self.rng = Random(self._incarnation)
@@ -158,12 +158,13 @@
 
     def leave(self) -> None:
         """Stop accepting work, finish the work in flight, then stop the process."""
-        if self.leaving_since is not None:
+        if self.departure is not None:
             return
-        self.leaving_since = self.reactor.seconds()
+        departure = StopSchedule(self.reactor.seconds(), self.config.stop_within)
+        self.departure = departure
         logger.info("leaving", extra={"unfinished": self.count_unfinished()})
-        self.stop_new_work()
-        self._check_drained()
+        self.stop_new_work(departure)
+        self._check_drained(departure)
 
     def reload(self) -> None:
         """Reload the settings; only the seeds may change while the process runs."""
@@ -179,7 +180,7 @@
         logger.info("settings reloaded", extra={"seeds": addresses})
 
     def stop_role(self) -> None:
-        """Stop components that would log the closing of their connections as a fault."""
+        """Break off what is unfinished; stop what would log closed connections as a fault."""
 
     def roster_changed(self) -> None:
         """Ignore roster changes; only entries share limits with other entries."""
@@ -207,8 +208,8 @@
         """Start the components that are specific to the role."""
 
     @abstractmethod
-    def stop_new_work(self) -> None:
-        """Stop accepting new work."""
+    def stop_new_work(self, departure: StopSchedule) -> None:
+        """Stop accepting new work, and end the work in flight in time."""
 
     @abstractmethod
     def count_unfinished(self) -> int:
@@ -218,15 +219,20 @@
     def can_stop(self, leaving_seconds: float) -> bool:
         """Return whether the process can stop `leaving_seconds` after it began to leave."""
 
-    def _check_drained(self) -> None:
-        assert self.leaving_since is not None
-        leaving_seconds = self.reactor.seconds() - self.leaving_since
-        overrun = leaving_seconds >= self.config.stop_within - STOP_MARGIN_SECONDS
-        if not overrun and not self.can_stop(leaving_seconds):
-            self.reactor.callLater(DRAIN_CHECK_INTERVAL_SECONDS, self._check_drained)
+    def _check_drained(self, departure: StopSchedule) -> None:
+        now = self.reactor.seconds()
+        overrun = now >= departure.stop_by
+        if not overrun and not self.can_stop(now - departure.began_at):
+            interval = min(DRAIN_CHECK_INTERVAL_SECONDS, departure.stop_by - now)
+            self.reactor.callLater(interval, self._check_drained, departure)
             return
+        unfinished = self.count_unfinished()
         self.stop_role()
-        logger.info("stopped", extra={"unfinished": self.count_unfinished(), "overrun": overrun})
+        # The reactor aborts connections in its next iteration.
+        self.reactor.callLater(0, self._stop, unfinished, overrun)
+
+    def _stop(self, unfinished: int, overrun: bool) -> None:
+        logger.info("stopped", extra={"unfinished": unfinished, "overrun": overrun})
         self.reactor.stop()
 
     def _measure_gauge_age(self, table: Table) -> float:
@@ -286,7 +292,7 @@
     @property
     def ready(self) -> bool:
         """Whether the directory may list this entry to callers."""
-        return self.tables.complete and self.leaving_since is None
+        return self.tables.complete and self.departure is None
 
     def list_caller_addresses(self, domain: str, region: str) -> list[Address]:
         """Return the addresses of entries for callers in a failure domain and region."""
@@ -355,14 +361,15 @@
         assert self.source is not None
         self.source.start()
 
-    def stop_new_work(self) -> None:
+    def stop_new_work(self, departure: StopSchedule) -> None:
         """Announce that this entry is leaving; stop listening after callers had time to move."""
-        self.gateway.leaving_since = self.leaving_since
+        self.gateway.leave(departure)
         self._publish_readiness()
         self.reactor.callLater(ACCEPT_AFTER_LEAVING_SECONDS, self._stop_listening)
 
     def stop_role(self) -> None:
-        """Stop reading the store."""
+        """Break off the responses that are unfinished and stop reading the store."""
+        self.gateway.break_off()
         if self.source is not None:
             self.source.stop()
 
@@ -384,7 +391,7 @@
     def _publish_readiness(self) -> None:
         own = self.roster.own
         assert own is not None
-        leaving = self.leaving_since is not None
+        leaving = self.departure is not None
         if (own.ready, own.leaving) == (self.ready, leaving):
             return
         self.roster.own = msgspec.structs.replace(own, ready=self.ready, leaving=leaving)
@@ -439,7 +446,7 @@
         self.listener.register(Purpose.WEIGHTS, self.rollout)
         self.rollout.start(self.started_ms)
 
-    def stop_new_work(self) -> None:
+    def stop_new_work(self, departure: StopSchedule) -> None:
         """Do nothing: other agents request chunks in flight from another source."""
 
     def count_unfinished(self) -> int:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -31,6 +31,7 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.crashes import Suspect
+from coltsfootshift.gateway.departure import StopSchedule
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
@@ -58,6 +59,7 @@
 ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
+LEAVING_REASON = "this entry is leaving"
 MIN_DEPARTURE_RATE = 0.01  # of a service whose endpoints name a limit of zero
 
 logger = get_logger("gateway")
@@ -113,7 +115,7 @@
         self.metrics = metrics
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
-        self.leaving_since: float | None = None
+        self._departure: StopSchedule | None = None
         self._dialect = dialect
         self._source = source
         self._bounds = bounds
@@ -153,6 +155,17 @@
         self._ticked_at = self.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=False)
 
+    def leave(self, departure: StopSchedule) -> None:
+        """Refuse new requests from some time on, and answer all in time for the process to stop."""
+        self._departure = departure
+        delay = departure.answer_by - self.reactor.seconds()
+        self.reactor.callLater(max(0.0, delay), self._answer_unfinished)
+
+    def break_off(self) -> None:
+        """End the requests in flight, so that begun responses do not look complete."""
+        for exchange in list(self._exchanges):
+            exchange.give_up(LEAVING_REASON)
+
     @property
     def limits(self) -> CallerLimits:
         """The limits for callers in the current catalogue."""
@@ -161,7 +174,7 @@
     @property
     def closing(self) -> bool:
         """Whether this entry is leaving, so that keep-alive connections are closed."""
-        return self.leaving_since is not None
+        return self._departure is not None
 
     @property
     def unfinished(self) -> int:
@@ -211,7 +224,7 @@
             return
         admission = Admission(head, incoming.arrived_at, incoming.body)
         if self._rejects_new_requests(now):
-            self._answer_refusal(incoming, head, NotRun("this entry is leaving", retry_after=0.0))
+            self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
             return
         for check in self._checks:
             decision = check.find_refusal(admission, self.tables, now)
@@ -363,9 +376,15 @@
         state.limit_rate(limit, share, now)
 
     def _rejects_new_requests(self, now: float) -> bool:
-        if self.leaving_since is None:
+        if self._departure is None:
             return False
-        return now - self.leaving_since > ADMIT_AFTER_LEAVING_SECONDS
+        return now - self._departure.began_at > ADMIT_AFTER_LEAVING_SECONDS
+
+    def _answer_unfinished(self) -> None:
+        """End the requests without a response; responses that have begun may still complete."""
+        for exchange in list(self._exchanges):
+            if not exchange.response_started:
+                exchange.give_up(LEAVING_REASON)
 
     def _update_state(
         self, name: InstanceId, record: EndpointRecord, spec: ServiceSpec
--- /dev/null
+++ b/tests/test_gateway_leaving.py
@@ -0,0 +1,137 @@
+"""What callers get from an entry that was asked to stop: complete answers, whole."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from unittest.mock import Mock
+
+import pytest
+from coltsfootshift_platform.dialect import PlatformDialect
+from gateway_harness import (
+    BOUNDS,
+    ROUTES,
+    GatewayHarness,
+    NullDecoder,
+    make_chunk,
+    make_event,
+    make_response,
+)
+
+from coltsfootshift.gateway.nodes import GatewayEntry, NodeConfig
+from coltsfootshift.ids import FailureDomain, InstanceId
+from coltsfootshift.settings import Address
+
+STOP_WITHIN_SECONDS = 8.0
+STEP_SECONDS = 0.02
+LONG_SECONDS = 60.0
+
+
+class LeavingHarness(GatewayHarness):
+    """A gateway in an entry that stops within `stop_within` seconds once `entry.leave` is called.
+
+    Requests may last, and wait for a free endpoint, for longer than the entry has.
+    """
+
+    def __init__(self, stop_within=STOP_WITHIN_SECONDS, **fields):
+        super().__init__(**fields)
+        routes = []
+        for route in ROUTES:
+            routes.append(replace(route, timeout=LONG_SECONDS, latency_objective=LONG_SECONDS))
+        self.tables.catalogue = replace(self.tables.catalogue, routes={"host": tuple(routes)})
+        address = Address("10.0.0.1", 1)
+        config = NodeConfig(
+            InstanceId("entry-1"), address, "north", FailureDomain("a"), (), stop_within, 3
+        )
+        self.entry = GatewayEntry(
+            self.clock, config, NullDecoder(), PlatformDialect(), address, BOUNDS
+        )
+        self.entry.gateway, self.entry._caller_factory = self.gateway, self.factory
+        self.entry._port = self.port = Mock()
+
+    @property
+    def listening(self):
+        return not self.port.stopListening.called
+
+    @property
+    def stopped(self):
+        return self.clock.hasStopped
+
+    def advance(self, seconds):
+        """Let time pass in steps, with confirmed tables, until the entry stops."""
+        until = self.clock.seconds() + seconds
+        while self.clock.seconds() < until - STEP_SECONDS / 2 and not self.stopped:
+            self.clock.advance(STEP_SECONDS)
+            self.confirm()
+
+    def run_until_stopped(self):
+        """Let time pass until the entry stops; return the seconds that it took."""
+        started = self.clock.seconds()
+        self.advance(2 * LONG_SECONDS)
+        assert self.stopped
+        return self.clock.seconds() - started
+
+
+def read_status(caller):
+    """Return the status of a complete response; 0 if the caller got none."""
+    head, separator, _ = caller.value().partition(b"\r\n\r\n")
+    return int(head.split()[1]) if separator and not caller.aborted else 0
+
+
+@pytest.mark.parametrize("route", ["read", "book", "talk", "once", "model"])
+@pytest.mark.parametrize("sent_at", [-1.0, 0.5, 1.9])
+def test_request_that_an_endpoint_does_not_answer_is_answered_before_the_stop(route, sent_at):
+    """The process stopped without an answer to what the endpoints still worked on."""
+    harness = LeavingHarness(engines=1)
+    harness.advance(2.0)
+    if sent_at >= 0:
+        harness.entry.leave()
+        harness.advance(sent_at)
+    headers = ["X-Model: m", "X-Token-Counts: 900,90"]
+    caller = harness.send_request(route, headers)
+    endpoint = harness.accept()
+    if sent_at < 0:
+        harness.advance(-sent_at)
+        harness.entry.leave()
+    assert endpoint.value() and not caller.value()
+    harness.advance(STOP_WITHIN_SECONDS * 5 / 6 - max(0.0, sent_at))
+    assert not caller.value() and endpoint.protocol is not None
+    harness.run_until_stopped()
+    assert read_status(caller) == 504
+    assert endpoint.aborted
+
+
+def test_request_that_waits_for_an_endpoint_is_refused_before_the_stop():
+    """The process stopped without an answer to requests that no endpoint had been sent."""
+    harness = LeavingHarness(endpoints=1)
+    callers = [harness.send_request("book", request=f"r-{number}") for number in range(13)]
+    endpoints = [harness.accept() for _ in range(12)]
+    assert harness.accept() is None and None not in endpoints
+    harness.entry.leave()
+    harness.run_until_stopped()
+    assert [read_status(caller) for caller in callers] == [504] * 12 + [503]
+    assert harness.accept() is None
+
+
+def test_begun_stream_goes_on_until_the_stop_and_is_then_broken_off():
+    """A stream that is broken off must not look complete."""
+    harness = LeavingHarness(engines=1)
+    caller = harness.send_request("model", ["X-Model: m", "X-Token-Counts: 900,900"])
+    endpoint = harness.accept()
+    harness.entry.leave()
+    endpoint.protocol.dataReceived(make_response(chunked=True, headers=["X-Weight-Versions: 1"]))
+    number = 0
+    while not harness.stopped:
+        number += 1
+        assert caller.protocol is not None
+        endpoint.protocol.dataReceived(make_chunk(make_event(number)))
+        harness.advance(0.1)
+    assert make_event(number - 1) in caller.value()
+    assert caller.aborted and endpoint.aborted
+    assert number * 0.1 >= STOP_WITHIN_SECONDS * 5 / 6
+
+
+def test_entry_without_requests_stops_early():
+    harness = LeavingHarness()
+    harness.connect()
+    harness.entry.leave()
+    assert harness.run_until_stopped() < 5.0
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -5,9 +5,11 @@
 import json
 import threading
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 from platform_standins import (
+    BOUNDS,
     CHUNKS,
     ENGINE_SERVICE,
     HOST,
@@ -45,9 +47,10 @@
         self.store.put("op/config", make_config(3, self.origin.address))
         self.store.put("servers/e-1", make_record(PLAIN_SERVICE, self.endpoint.address))
 
-    def start_entry(self, name="entry-1", store=None, seeds=()):
+    def start_entry(self, name="entry-1", store=None, seeds=(), **bounds):
         ports = find_ports(6)
         fields = make_settings(name, store or self.store.address, ports, list(seeds))
+        fields["bounds"] = {**BOUNDS, **bounds}
         self.start(name, "entry", fields)
         return ports
 
@@ -160,6 +163,21 @@
     assert messages[0] == "started" and messages[-1] == "stopped"
 
 
+def test_leaving_entry_answers_what_it_cannot_finish(fleet):
+    """A request that its endpoint did not answer in the time to stop was cut without an answer."""
+    ports = fleet.start_entry(grace_s=3)
+    wait_for(lambda: is_ready(ports))
+    fleet.endpoint.delay = 5.0
+    with ThreadPoolExecutor() as pool:
+        answer = pool.submit(book, ports)
+        wait_for(lambda: fleet.endpoint.orders)
+        fleet.programs[0].terminate()
+        began_at = time.monotonic()
+        assert answer.result(5)[0] == 504
+        assert time.monotonic() - began_at >= 3.0 * 5 / 6 - 0.1
+    assert fleet.programs[0].process.wait(5) == 0
+
+
 def test_request_can_be_followed_in_the_log(fleet):
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
