Derive the times of a leaving entry from the time that it has

What callers would see: with a grace of 3 s, a leaving entry admitted requests until 2.0 s after SIGTERM and accepted connections until it was gone, with 0.3 s left for an answer. Late requests were passed on and cut.

Cause: the ends of admission (2.0 s) and of listening (4.0 s) were fixed times, which exceed a short grace. They are now at most a quarter and half of it; a grace of 8 s gives the same times as before.

Evidence: tests/test_gateway_leaving.py, before: "assert (<Transport> is not None) is False" (a request passed on at 0.8 s of 3 s, and at 0.3 s of 0.8 s) and "assert not True" (still listening).

--- a/src/coltsfootshift/gateway/departure.py
+++ b/src/coltsfootshift/gateway/departure.py
@@ -1,4 +1,4 @@
-"""When a leaving process answers what is unfinished and stops."""
+"""When a leaving process refuses requests, answers what is unfinished and stops."""
 
 from __future__ import annotations
 
@@ -6,6 +6,12 @@
 
 __all__ = ["StopSchedule"]
 
+# Requests that are admitted later could outlast the time to stop.
+MAX_ADMIT_SECONDS = 2.0
+MAX_ADMIT_SHARE = 1 / 4
+# Callers keep using a cached address for about two lifetimes of a directory answer.
+MAX_LISTEN_SECONDS = 4.0
+MAX_LISTEN_SHARE = 1 / 2
 # Answers that are due at the end need time to be written; a process needs time to end.
 MAX_ANSWER_MARGIN_SECONDS = 0.7
 MAX_ANSWER_MARGIN_SHARE = 1 / 6
@@ -20,13 +26,23 @@
     clock of `began_at`.
 
     >>> schedule = StopSchedule(began_at=100.0, stop_within=8.0)
-    >>> schedule.answer_by, schedule.stop_by
-    (107.3, 107.65)
+    >>> schedule.admit_until, schedule.listen_until, schedule.answer_by, schedule.stop_by
+    (102.0, 104.0, 107.3, 107.65)
     """
 
     began_at: float
     stop_within: float
 
+    @property
+    def admit_until(self) -> float:
+        """Until when new requests are admitted."""
+        return self.began_at + min(MAX_ADMIT_SECONDS, MAX_ADMIT_SHARE * self.stop_within)
+
+    @property
+    def listen_until(self) -> float:
+        """Until when callers may connect; those that have not moved yet are refused."""
+        return self.began_at + min(MAX_LISTEN_SECONDS, MAX_LISTEN_SHARE * self.stop_within)
+
     @property
     def answer_by(self) -> float:
         """When every request whose response has not begun gets a final answer."""
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -55,8 +55,6 @@
 
 # The platform provides no shared secret; this placeholder gives no protection (docs/PLATFORM.md).
 PLACEHOLDER_SECRET = "the platform gives its processes no secret"
-# Callers keep using a cached address for about two lifetimes of a directory answer.
-ACCEPT_AFTER_LEAVING_SECONDS = 4.0
 DRAIN_CHECK_INTERVAL_SECONDS = 0.1
 STARTUP_SECONDS = 1.0  # interpreter start and imports take 0.5 s on a shared machine
 # Readers confirm the table with the store every 1.5 s and gossip every 0.5 s; all entries must
@@ -216,13 +214,13 @@
         """Return the number of requests in flight."""
 
     @abstractmethod
-    def can_stop(self, leaving_seconds: float) -> bool:
-        """Return whether the process can stop `leaving_seconds` after it began to leave."""
+    def can_stop(self, departure: StopSchedule, now: float) -> bool:
+        """Return whether the process can stop before the end of the time that it has."""
 
     def _check_drained(self, departure: StopSchedule) -> None:
         now = self.reactor.seconds()
         overrun = now >= departure.stop_by
-        if not overrun and not self.can_stop(now - departure.began_at):
+        if not overrun and not self.can_stop(departure, now):
             interval = min(DRAIN_CHECK_INTERVAL_SECONDS, departure.stop_by - now)
             self.reactor.callLater(interval, self._check_drained, departure)
             return
@@ -365,7 +363,8 @@
         """Announce that this entry is leaving; stop listening after callers had time to move."""
         self.gateway.leave(departure)
         self._publish_readiness()
-        self.reactor.callLater(ACCEPT_AFTER_LEAVING_SECONDS, self._stop_listening)
+        delay = departure.listen_until - self.reactor.seconds()
+        self.reactor.callLater(max(0.0, delay), self._stop_listening)
 
     def stop_role(self) -> None:
         """Break off the responses that are unfinished and stop reading the store."""
@@ -377,12 +376,10 @@
         """Return the number of requests without a final answer."""
         return self.gateway.unfinished
 
-    def can_stop(self, leaving_seconds: float) -> bool:
+    def can_stop(self, departure: StopSchedule, now: float) -> bool:
         """Return whether callers have had time to move to other entries and all are answered."""
-        return (
-            leaving_seconds > ACCEPT_AFTER_LEAVING_SECONDS + DRAIN_CHECK_INTERVAL_SECONDS
-            and not self.gateway.unfinished
-        )
+        moved = now > departure.listen_until + DRAIN_CHECK_INTERVAL_SECONDS
+        return moved and not self.gateway.unfinished
 
     def _stop_listening(self) -> None:
         self._port.stopListening()
@@ -453,7 +450,7 @@
         """Return 0: an agent has no work that must be finished before it stops."""
         return 0
 
-    def can_stop(self, leaving_seconds: float) -> bool:
+    def can_stop(self, departure: StopSchedule, now: float) -> bool:
         """Return True: an agent can stop immediately."""
         return True
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -56,7 +56,6 @@
 RETRY_DEADLINE_RATIO = 0.9
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
-ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
 LEAVING_REASON = "this entry is leaving"
@@ -223,7 +222,7 @@
             incoming.respond(error.status, [], b"")
             return
         admission = Admission(head, incoming.arrived_at, incoming.body)
-        if self._rejects_new_requests(now):
+        if self._departure is not None and now > self._departure.admit_until:
             self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
             return
         for check in self._checks:
@@ -375,11 +374,6 @@
             share = compute_share(limit, state.record.endpoint, self._own, self._entries)
         state.limit_rate(limit, share, now)
 
-    def _rejects_new_requests(self, now: float) -> bool:
-        if self._departure is None:
-            return False
-        return now - self._departure.began_at > ADMIT_AFTER_LEAVING_SECONDS
-
     def _answer_unfinished(self) -> None:
         """End the requests without a response; responses that have begun may still complete."""
         for exchange in list(self._exchanges):
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -112,6 +112,35 @@
     assert harness.accept() is None
 
 
+@pytest.mark.parametrize(
+    ("stop_within", "sent_at", "admitted"),
+    [(8.0, 1.9, True), (8.0, 2.1, False), (3.0, 0.7, True), (3.0, 0.8, False), (0.8, 0.3, False)],
+)
+def test_requests_are_admitted_while_there_is_time_to_answer_them(stop_within, sent_at, admitted):
+    """A short time to stop was taken up by the fixed times for requests of other callers."""
+    harness = LeavingHarness(stop_within)
+    harness.entry.leave()
+    harness.advance(sent_at)
+    caller = harness.send_request("book")
+    endpoint = harness.accept()
+    assert (endpoint is not None) is admitted
+    if not admitted:
+        assert read_status(caller) == 503
+        assert b"connection: close" in caller.value().lower()
+        assert b"retry-after: 0.000" in caller.value().lower()
+        assert caller.protocol is None
+
+
+@pytest.mark.parametrize(("stop_within", "closes_at"), [(8.0, 4.0), (3.0, 1.5), (30.0, 4.0)])
+def test_entry_stops_listening_before_it_has_to_stop(stop_within, closes_at):
+    harness = LeavingHarness(stop_within)
+    harness.entry.leave()
+    harness.advance(closes_at - 0.1)
+    assert harness.listening and not harness.stopped
+    harness.advance(0.2)
+    assert not harness.listening and not harness.stopped
+
+
 def test_begun_stream_goes_on_until_the_stop_and_is_then_broken_off():
     """A stream that is broken off must not look complete."""
     harness = LeavingHarness(engines=1)
