Stop a leaving entry only after its answers have been sent

What callers saw: the end of an answer was missing if the caller had not taken all of it when the last request ended, or if the answer was written just before the entry stopped.

Cause: the entry stopped once no request was unfinished. A request is finished when its answer has been written to the connection's buffer, and a reactor that stops drops these buffers.

The entry now waits, until the end of its time, for connections that are being closed once their bytes have been sent, and for those on which a request is being read.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -136,6 +136,14 @@
         self._timeout: Any = None
         self._rejected = False
         self._watching = False
+        self._closing = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in progress, or bytes of the last response wait to be sent."""
+        if not self.open:
+            return False
+        return self._closing or self._request is not None or self._head is not None
 
     def connectionMade(self) -> None:
         """Wait for the first request."""
@@ -200,12 +208,12 @@
         if not self.open:
             return
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
-            self.transport.loseConnection()
+            self._close_when_sent()
             return
         self._http.start_next_cycle()
         self._head = None
         if self._handler.closing:
-            self.transport.loseConnection()
+            self._close_when_sent()
             return
         self._set_timeout(self._handler.limits.idle_timeout, self._on_idle_timeout)
         self._read_events()
@@ -219,7 +227,11 @@
     def close_idle(self) -> None:
         """Close the connection if no request is in progress on it."""
         if self.open and self._request is None and self._head is None:
-            self.transport.loseConnection()
+            self._close_when_sent()
+
+    def _close_when_sent(self) -> None:
+        self._closing = True
+        self.transport.loseConnection()
 
     def _send(self, event: Any) -> None:
         try:
@@ -297,12 +309,12 @@
             reason = _REASON_PHRASES.get(status, b"Error")
             self._send(h11.Response(status_code=status, headers=headers, reason=reason))
             self._send(h11.EndOfMessage())
-        self.transport.loseConnection()
+        self._close_when_sent()
 
     def _on_idle_timeout(self) -> None:
         self._timeout = None
         if self._request is None and self._head is None:
-            self.transport.loseConnection()
+            self._close_when_sent()
 
     def _on_header_timeout(self) -> None:
         self._timeout = None
@@ -336,6 +348,10 @@
         self._connections.add(connection)
         return connection
 
+    def count_busy(self) -> int:
+        """Return on how many connections a request or response is in progress or being sent."""
+        return sum(connection.busy for connection in self._connections)
+
     def close_idle(self) -> None:
         """Close the connections on which no request is in progress."""
         for connection in list(self._connections):
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -377,9 +377,9 @@
         return self.gateway.unfinished
 
     def can_stop(self, departure: StopSchedule, now: float) -> bool:
-        """Return whether callers have had time to move to other entries and all are answered."""
+        """Return whether callers have had time to move and have been sent all of their answers."""
         moved = now > departure.listen_until + DRAIN_CHECK_INTERVAL_SECONDS
-        return moved and not self.gateway.unfinished
+        return moved and not self.gateway.unfinished and not self._caller_factory.count_busy()
 
     def _stop_listening(self) -> None:
         self._port.stopListening()
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -12,6 +12,7 @@
     ROUTES,
     GatewayHarness,
     NullDecoder,
+    Transport,
     make_chunk,
     make_event,
     make_response,
@@ -26,6 +27,16 @@
 LONG_SECONDS = 60.0
 
 
+class SlowTransport(Transport):
+    """A connection whose bytes the caller takes only when `flush` is called."""
+
+    def loseConnection(self):
+        self.disconnecting = True
+
+    def flush(self):
+        Transport.loseConnection(self)
+
+
 class LeavingHarness(GatewayHarness):
     """A gateway in an entry that stops within `stop_within` seconds once `entry.leave` is called.
 
@@ -210,6 +221,34 @@
     assert number * 0.1 >= STOP_WITHIN_SECONDS * 5 / 6
 
 
+@pytest.mark.parametrize("taken_at", [5.0, 6.0, None])
+def test_entry_waits_until_its_answers_have_been_sent(taken_at):
+    """The process stopped as soon as the last answer was written; its bytes were lost."""
+    harness = LeavingHarness()
+    caller = SlowTransport()
+    harness.connect = lambda: _attach(harness, caller)
+    harness.send_request("book")
+    endpoint = harness.accept()
+    harness.entry.leave()
+    harness.advance(1.0)
+    endpoint.protocol.dataReceived(make_response(b"ok"))
+    assert read_status(caller) == 200
+    if taken_at is None:
+        assert 1.0 + harness.run_until_stopped() >= STOP_WITHIN_SECONDS * 5 / 6
+        return
+    harness.advance(taken_at - 1.0)
+    assert not harness.stopped
+    caller.flush()
+    assert harness.run_until_stopped() < 0.5
+
+
+def _attach(harness, caller):
+    protocol = harness.factory.buildProtocol(None)
+    caller.protocol = protocol
+    protocol.makeConnection(caller)
+    return caller
+
+
 def test_entry_without_requests_stops_early():
     harness = LeavingHarness()
     harness.connect()
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -33,6 +34,8 @@
 
 MAX_CONFIG_DELAY_SECONDS = 2.0
 MAX_REVOKE_DELAY_SECONDS = 3.0
+LONG_BODY_BYTES = 1_000_000
+LONG_ANSWERS = 8  # together more than the system buffers for a slow caller
 
 
 class Fleet:
@@ -178,6 +181,30 @@
     assert fleet.programs[0].process.wait(5) == 0
 
 
+def test_leaving_entry_sends_all_of_its_answers_to_a_slow_caller(fleet):
+    """The process stopped while the caller had yet to take the last of its answers."""
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        caller.connect((HOST, ports[0]))
+        caller.settimeout(5.0)
+        for number in range(LONG_ANSWERS):
+            lines = ["POST /book/1 HTTP/1.1", "Host: desk.example", f"X-Attempt-Id: r-{number}"]
+            lines += [f"X-Api-Key: {KEY}", f"Content-Length: {LONG_BODY_BYTES}", "", ""]
+            caller.sendall("\r\n".join(lines).encode() + bytes(LONG_BODY_BYTES))
+        log = fleet.programs[0].output
+        wait_for(lambda: log.read_text("utf-8").count("request ended") == LONG_ANSWERS)
+        fleet.programs[0].terminate()
+        time.sleep(4.6)
+        answer = b""
+        while data := caller.recv(65536):
+            answer += data
+    assert answer.count(b"HTTP/1.1 200 ") == LONG_ANSWERS
+    assert len(answer) > LONG_ANSWERS * LONG_BODY_BYTES
+    assert fleet.programs[0].process.wait(5) == 0
+
+
 def test_request_can_be_followed_in_the_log(fleet):
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
