Answer on connections opened just before a leaving entry closes its port

What callers saw: a connection opened with a cached address in the last moment was closed before the first request arrived, without an answer.

Cause: idle connections were closed together with the port, 4 s after SIGTERM, and a new connection counted as idle. They are now closed 0.5 s later (a sixteenth of a short grace); a request that arrives meanwhile, also on an older connection, is refused with 503 as not run.

A request that crosses the close of its connection later than that still gets no answer; it is not read, so that it never runs.

Evidence: tests/test_gateway_leaving.py, before: "AttributeError: 'NoneType' object has no attribute 'dataReceived'", as the connection was gone 0.3 s after it was opened.

--- a/src/coltsfootshift/gateway/departure.py
+++ b/src/coltsfootshift/gateway/departure.py
@@ -12,6 +12,9 @@
 # Callers keep using a cached address for about two lifetimes of a directory answer.
 MAX_LISTEN_SECONDS = 4.0
 MAX_LISTEN_SHARE = 1 / 2
+# The first request on a connection that was opened before the port closed arrives within this.
+MAX_IDLE_SECONDS = 0.5
+MAX_IDLE_SHARE = 1 / 16
 # Answers that are due at the end need time to be written; a process needs time to end.
 MAX_ANSWER_MARGIN_SECONDS = 0.7
 MAX_ANSWER_MARGIN_SHARE = 1 / 6
@@ -43,6 +46,11 @@
         """Until when callers may connect; those that have not moved yet are refused."""
         return self.began_at + min(MAX_LISTEN_SECONDS, MAX_LISTEN_SHARE * self.stop_within)
 
+    @property
+    def close_idle_at(self) -> float:
+        """When connections without a request are closed."""
+        return self.listen_until + min(MAX_IDLE_SECONDS, MAX_IDLE_SHARE * self.stop_within)
+
     def allows_start(self, duration: float, now: float) -> bool:
         """Return whether a request that is sent now, and lasts `duration` seconds, ends in time.
 
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -363,8 +363,10 @@
         """Announce that this entry is leaving; stop listening after callers had time to move."""
         self.gateway.leave(departure)
         self._publish_readiness()
-        delay = departure.listen_until - self.reactor.seconds()
-        self.reactor.callLater(max(0.0, delay), self._stop_listening)
+        now = self.reactor.seconds()
+        self.reactor.callLater(max(0.0, departure.listen_until - now), self._stop_listening)
+        delay = max(0.0, departure.close_idle_at - now)
+        self.reactor.callLater(delay, self._caller_factory.close_idle)
 
     def stop_role(self) -> None:
         """Break off the responses that are unfinished and stop reading the store."""
@@ -378,12 +380,11 @@
 
     def can_stop(self, departure: StopSchedule, now: float) -> bool:
         """Return whether callers have had time to move and have been sent all of their answers."""
-        moved = now > departure.listen_until + DRAIN_CHECK_INTERVAL_SECONDS
+        moved = now > departure.close_idle_at + DRAIN_CHECK_INTERVAL_SECONDS
         return moved and not self.gateway.unfinished and not self._caller_factory.count_busy()
 
     def _stop_listening(self) -> None:
         self._port.stopListening()
-        self._caller_factory.close_idle()
 
     def _publish_readiness(self) -> None:
         own = self.roster.own
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -249,6 +249,19 @@
     return caller
 
 
+def test_connection_opened_just_before_the_port_closes_gets_an_answer():
+    """It was closed before its first request arrived."""
+    harness = LeavingHarness()
+    harness.entry.leave()
+    harness.advance(3.9)
+    caller = harness.connect()
+    harness.advance(0.3)
+    assert not harness.listening
+    harness.connect = lambda: caller
+    harness.send_request("book")
+    assert read_status(caller) == 503
+
+
 def test_entry_without_requests_stops_early():
     harness = LeavingHarness()
     harness.connect()
