Give requests an outcome when an entry's time to drain is over

What callers would see: an entry of the product's own interface that was still at work on requests `drain_seconds` after it began to leave cut their answers, without the last line that tells the outcome; requests that waited for an endpoint and had never been sent were cut too.

Cause: as in the gateway's entry, the process stopped with the requests unfinished; their deadlines may lie behind the end of the time to drain.

The requests in progress are now cancelled, which also ends their attempts at the agents, and answered: not_run if no agent was sent them and no ticket names one, else unknown.

A caller that leaves is told apart as before (tests/test_outcomes_door.py).

--- a/src/coltsfootshift/entry/daemon.py
+++ b/src/coltsfootshift/entry/daemon.py
@@ -106,6 +106,10 @@
         """Return the number of callers' requests in progress."""
         return self.http_server.in_progress
 
+    def end_unfinished(self) -> None:
+        """Answer the requests in progress, so that none is cut without an outcome."""
+        self.http_server.end_unfinished()
+
     def describe_role(self) -> dict[str, Any]:
         """Return the connected endpoints, limit shares, suspects and queues for the status page."""
         rows = {}
--- a/src/coltsfootshift/entry/http_server.py
+++ b/src/coltsfootshift/entry/http_server.py
@@ -8,7 +8,7 @@
 from typing import Any
 
 from klein import Klein
-from twisted.internet.defer import CancelledError, TimeoutError
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 
 from coltsfootshift.decisions import DecisionLog
 from coltsfootshift.entry.answers import AnswerSink
@@ -116,6 +116,8 @@
         self._decisions = decisions
         self.leaving = False
         self.in_progress = 0
+        self._running: set[Deferred[Outcome]] = set()
+        self._stopping = False
         self.app = Klein()
         self.app.route("/directory", methods=["GET"])(directory.handle_request)
         self.app.route("/v1/services/<service>/requests", methods=["POST"])(self._handle_request)
@@ -126,6 +128,12 @@
         """Listen on a TCP port and return the port object."""
         return self._reactor.listenTCP(port, make_site(self.app), interface=host)
 
+    def end_unfinished(self) -> None:
+        """End the requests in progress: as not run if no agent was sent them, else as unknown."""
+        self._stopping = True
+        for running in list(self._running):
+            running.cancel()
+
     async def _handle_request(self, request: Any, service: str) -> bytes:
         exchange = self._parse_exchange(request, service)
         if isinstance(exchange, NotRun):
@@ -161,21 +169,31 @@
         """Run an admitted request; cancellation and unexpected errors also give an outcome."""
         self.in_progress += 1
         outcome: Outcome = Unknown("internal error", status=500)
+        running = Deferred.fromCoroutine(self._runner.run(exchange, sink))
+        self._running.add(running)
         try:
-            outcome = await self._runner.run(exchange, sink)
+            outcome = await running
         except CancelledError:
-            self._metrics.count("callers_gone")
-            outcome = Unknown("the caller has gone")
+            outcome = self._make_cancelled_outcome(exchange)
         except Exception:
             self._metrics.count("internal_errors")
             logger.exception("unexpected error while running a request")
         finally:
+            self._running.discard(running)
             self.in_progress -= 1
             now = self._reactor.seconds()
             self._chain.release(exchange, outcome, now)
             self._metrics.observe("request_seconds", now - exchange.arrived_at)
         return outcome
 
+    def _make_cancelled_outcome(self, exchange: Exchange) -> Outcome:
+        if not self._stopping:
+            self._metrics.count("callers_gone")
+            return Unknown("the caller has gone")
+        if exchange.attempts or exchange.ticket:
+            return Unknown("this entry has stopped")
+        return NotRun("this entry has stopped")
+
     async def _handle_ticket(self, request: Any, service: str) -> bytes:
         exchange = self._parse_exchange(request, service)
         if isinstance(exchange, NotRun):
--- a/src/coltsfootshift/node.py
+++ b/src/coltsfootshift/node.py
@@ -92,7 +92,8 @@
     def leave(self) -> None:
         """Refuse new work, drain the work in progress, then stop the process.
 
-        The process stops after `drain_seconds` even if work is still unfinished.
+        The process stops after `drain_seconds` even if work is still unfinished; see
+        `end_unfinished`.
         """
         if self.leaving:
             return
@@ -158,6 +159,13 @@
     def count_unfinished(self) -> int:
         """Return the number of requests or attempts in progress."""
 
+    def end_unfinished(self) -> None:
+        """End the work in progress because the time to drain is over.
+
+        By default it is cut, and the entry of each request learns it from the lost stream.
+        """
+        return
+
     @abstractmethod
     def describe_role(self) -> dict[str, Any]:
         """Return the state of this role for the status page."""
@@ -174,6 +182,7 @@
             return
         if unfinished:
             logger.error("drain time is over", extra={"unfinished": unfinished})
+            self.end_unfinished()
         self.reactor.callLater(FLUSH_SECONDS, self.reactor.stop)
 
 
--- a/src/coltsfootshift_bench/fleet.py
+++ b/src/coltsfootshift_bench/fleet.py
@@ -74,14 +74,15 @@
 
     Use it as a context manager: on exit all processes are stopped and the folder is deleted.
     `platform_url_override` replaces the platform's URL in the settings of daemons, for instance by
-    the address of a proxy. `streams`, `first_read_seconds`, `store_region` and `keys` are settings
-    of the daemons.
+    the address of a proxy. `streams`, `first_read_seconds`, `drain_seconds`, `store_region` and
+    `keys` are settings of the daemons.
     """
 
     seed: int = 1
     streams: dict[str, float] = field(default_factory=dict)
     store_region: str = ""
     first_read_seconds: float = 0.5
+    drain_seconds: float = 60.0
     platform_url_override: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     records: dict[str, dict[str, Any]] = field(default_factory=dict)
@@ -306,6 +307,7 @@
             "keys": self.keys,
             "streams": self.streams,
             "first_read_seconds": self.first_read_seconds,
+            "drain_seconds": self.drain_seconds,
         }
 
     def _make_record(self, settings: dict[str, Any], role: str) -> dict[str, Any]:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -39,13 +39,14 @@
 
 
 def is_ready(fleet: Fleet) -> bool:
-    for number in (1, 2, 3):
-        status = fleet.read_status(f"entry-{number}")
-        if sum(1 for row in status["endpoints"].values() if row["serving"]) < 3:
-            return False
-        if not status["shares"]["settled"]:
-            return False
-    return True
+    return all(has_serving_endpoints(fleet, f"entry-{number}") for number in (1, 2, 3))
+
+
+def has_serving_endpoints(fleet: Fleet, entry: str) -> bool:
+    status = fleet.read_status(entry)
+    if sum(1 for row in status["endpoints"].values() if row["serving"]) < 3:
+        return False
+    return bool(status["shares"]["settled"])
 
 
 def request_leave(fleet: Fleet, name: str, by_list: bool) -> None:
@@ -72,6 +73,26 @@
     return threads
 
 
+def test_entry_whose_time_to_drain_is_over_gives_its_requests_an_outcome(
+    leaving_fleet: Fleet,
+) -> None:
+    """The requests that were still in progress were cut without an outcome."""
+    fleet = leaving_fleet
+    fleet.drain_seconds = 1.0
+    fleet.start_entry("entry-4")
+    fleet.publish_instances()
+    fleet.wait_until_listening()
+    fleet.wait_until(lambda: has_serving_endpoints(fleet, "entry-4"), 25, "all engines serve")
+    answers: list[Answer] = []
+    threads = start_long_requests(fleet, "entry-4", answers)
+    request_leave(fleet, "entry-4", by_list=False)
+    for thread in threads:
+        thread.join()
+    assert {answer.outcome for answer in answers} == {"unknown"}
+    assert all(0 < len(answer.lines) < TOKENS for answer in answers)
+    assert fleet.members["entry-4"].process.wait(10) == 0
+
+
 @pytest.mark.parametrize(("entry", "by_list"), [("entry-2", True), ("entry-3", False)])
 def test_a_leaving_entry_finishes_and_answers_late_callers(
     leaving_fleet: Fleet, entry: str, by_list: bool
--- a/tests/test_outcomes_door.py
+++ b/tests/test_outcomes_door.py
@@ -11,14 +11,17 @@
 from twisted.internet.task import Clock
 from twisted.web.test.requesthelper import DummyRequest
 
+from coltsfootshift.decisions import DecisionLog
+from coltsfootshift.entry.answers import AnswerSink
 from coltsfootshift.entry.http_server import (
     MAX_TICKET_ATTEMPTS,
     TICKET_TIMEOUT_SECONDS,
     CallerHttpServer,
 )
-from coltsfootshift.filters.base import FilterChain
+from coltsfootshift.filters.base import Exchange, FilterChain
 from coltsfootshift.ids import InstanceId
 from coltsfootshift.metrics import Metrics
+from coltsfootshift.outcomes import Outcome
 
 
 class SilentWork:
@@ -61,6 +64,49 @@
     assert json.loads(answers[0])["outcome"] == outcome
 
 
+class SilentRunner:
+    """Runs requests that end only when they are cancelled."""
+
+    def __init__(self, attempts: int) -> None:
+        self._attempts = attempts
+
+    async def run(self, exchange: Exchange, sink: AnswerSink) -> Outcome:
+        exchange.attempts = self._attempts
+        return await Deferred()
+
+
+@pytest.mark.parametrize(
+    ("attempts", "ticket", "outcome"),
+    [(0, "", "not_run"), (1, "", "unknown"), (0, "ledger-1~ab~1", "unknown")],
+)
+@pytest.mark.parametrize("stops", [True, False], ids=["entry stops", "caller leaves"])
+def test_request_in_progress_when_the_entry_stops_gets_an_outcome(
+    attempts: int, ticket: str, outcome: str, stops: bool
+) -> None:
+    """An entry whose time to drain was over cut the requests in progress without an outcome."""
+    unused: Any = None
+    directory: Any = DirectoryStub()
+    runner: Any = SilentRunner(attempts)
+    chain, metrics, decisions = FilterChain([]), Metrics(), DecisionLog(0.0)
+    server = CallerHttpServer(
+        Clock(), chain, chain, runner, unused, metrics, directory, lambda: True, decisions
+    )
+    request = DummyRequest([b""])
+    request.content = BytesIO()
+    request.requestHeaders.addRawHeader("Coltsfootshift-Ticket", ticket)
+    answers: list[bytes] = []
+    deferred = Deferred.fromCoroutine(server._handle_request(request, "ledger"))
+    deferred.addCallback(answers.append)
+    assert server.in_progress == 1 and not answers
+    if stops:
+        server.end_unfinished()
+        assert json.loads(answers[0])["outcome"] == outcome
+    else:
+        deferred.cancel()
+        assert json.loads(answers[0])["reason"] == "the caller has gone"
+    assert server.in_progress == 0
+
+
 class DirectoryStub:
     """A directory handler, which these tests do not use."""
 
