--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -440,16 +440,25 @@
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
+        self.give_up("the deadline has passed", "deadline")
+
+    def give_up(self, reason: str, outcome: str = "") -> None:
+        """End the exchange now: as not run if that is certain, else as unknown or broken off.
+
+        `outcome` is the text of the log line, by default the reason.
+        """
+        if self.ended:
+            return
         if self._attempt is not None and not self._outbound.sent:
             self.possible_runs -= 1
         self._cancel_attempt()
-        self._close("deadline")
+        self._close(outcome or reason)
         if self.response_started:
             self.incoming.abort()
         elif self.possible_runs > 0:
-            self._owner.send_refusal(self, Unknown("the deadline has passed", status=504))
+            self._owner.send_refusal(self, Unknown(reason, status=504))
         else:
-            self._owner.send_refusal(self, NotRun("the deadline has passed", retry_after=0.0))
+            self._owner.send_refusal(self, NotRun(reason, retry_after=0.0))
 
     def _on_caller_disconnect(self) -> None:
         """Cancel everything in progress when the caller has disconnected."""
@@ -499,5 +508,7 @@
         return WorkSize()
     head = admission.head
     prompt_tokens = head.prompt_tokens or int(service.engine.typical_prompt)
-    answer_tokens = head.answer_hint or head.answer_tokens or int(service.engine.typical_answer)
+    typical_answer = int(service.engine.typical_answer)
+    # The caller states the most tokens that it takes; few answers are as long.
+    answer_tokens = head.answer_hint or min(head.answer_tokens or typical_answer, typical_answer)
     return WorkSize(prompt_tokens, answer_tokens)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -32,6 +32,7 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.crashes import Suspect
+from coltsfootshift.gateway.departure import StopSchedule
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
@@ -64,9 +65,9 @@
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
 STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
-ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
+LEAVING_REASON = "this entry is leaving"
 
 logger = get_logger("gateway")
 
@@ -121,7 +122,7 @@
         self.metrics = metrics
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
-        self.leaving_since: float | None = None
+        self._departure: StopSchedule | None = None
         self._dialect = dialect
         self._source = source
         self._bounds = bounds
@@ -162,6 +163,17 @@
         self._ticked_at = self.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=False)
 
+    def leave(self, departure: StopSchedule) -> None:
+        """Refuse new requests from some time on, and answer all in time for the process to stop."""
+        self._departure = departure
+        delay = departure.answer_by - self.reactor.seconds()
+        self.reactor.callLater(max(0.0, delay), self._answer_unfinished)
+
+    def break_off(self) -> None:
+        """End the requests in flight, so that begun responses do not look complete."""
+        for exchange in list(self._exchanges):
+            exchange.give_up(LEAVING_REASON)
+
     @property
     def limits(self) -> CallerLimits:
         """The limits for callers in the current catalogue."""
@@ -170,7 +182,7 @@
     @property
     def closing(self) -> bool:
         """Whether this entry is leaving, so that keep-alive connections are closed."""
-        return self.leaving_since is not None
+        return self._departure is not None
 
     @property
     def unfinished(self) -> int:
@@ -219,8 +231,8 @@
             incoming.respond(error.status, [], b"")
             return
         admission = Admission(head, incoming.arrived_at, incoming.body)
-        if self._rejects_new_requests(now):
-            self._answer_refusal(incoming, head, NotRun("this entry is leaving", retry_after=0.0))
+        if self._departure is not None and now > self._departure.admit_until:
+            self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
             return
         for check in self._checks:
             decision = check.find_refusal(admission, self.tables, now)
@@ -240,7 +252,7 @@
         """Place a failed request on another endpoint, or queue it.
 
         Returns False if endpoints may end under the request, the retry budget is spent, no endpoint
-        can serve the request, or the request has ended.
+        can serve the request (before this entry stops), or the request has ended.
         """
         now = self.reactor.seconds()
         standing = self.beliefs.crashes.find_standing(exchange.admission.suspects, now)
@@ -260,7 +272,12 @@
         return not exchange.ended
 
     def draw_retry_after(self, exchange: Exchange) -> float:
-        """Return the seconds after which the caller of an unplaced request should retry."""
+        """Return the seconds after which the caller of an unplaced request should retry.
+
+        Another entry may place what this one can't end before it stops.
+        """
+        if self._departure is not None:
+            return 0.0
         left = exchange.admission.expires_at - self.reactor.seconds()
         return draw_retry_after(left, 0.0, self._rng)
 
@@ -384,10 +401,11 @@
             share = compute_share(limit, state.record.endpoint, self._own, self._entries)
         state.limit_rate(limit, share, now)
 
-    def _rejects_new_requests(self, now: float) -> bool:
-        if self.leaving_since is None:
-            return False
-        return now - self.leaving_since > ADMIT_AFTER_LEAVING_SECONDS
+    def _answer_unfinished(self) -> None:
+        """End the requests without a response; responses that have begun may still complete."""
+        for exchange in list(self._exchanges):
+            if not exchange.response_started:
+                exchange.give_up(LEAVING_REASON)
 
     def _update_state(
         self, name: InstanceId, record: EndpointRecord, spec: ServiceSpec
@@ -413,7 +431,10 @@
         return state
 
     def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        """Return the endpoints that may serve a request and can end it before this entry stops."""
         states = self._by_service.get(exchange.service.name, [])
+        if self._departure is not None:
+            states = self._list_ending_in_time(states, exchange, self._departure, now)
         if exchange.service.engine is None:
             return states
         min_version = self._find_min_version(exchange, now)
@@ -428,11 +449,26 @@
             candidates.append(state)
         return candidates
 
-    def _list_loading(self, exchange: Exchange) -> list[EndpointState]:
+    def _list_loading(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the engines that are loading; they serve again within a second."""
         states = self._by_service.get(exchange.service.name, [])
+        if self._departure is not None:
+            states = self._list_ending_in_time(states, exchange, self._departure, now)
         return [state for state in states if state.record.loading]
 
+    def _list_ending_in_time(
+        self,
+        states: list[EndpointState],
+        exchange: Exchange,
+        departure: StopSchedule,
+        now: float,
+    ) -> list[EndpointState]:
+        in_time = []
+        for state in states:
+            if departure.allows_start(state.predict_duration(exchange.size, now), now):
+                in_time.append(state)
+        return in_time
+
     def _find_min_version(
         self, exchange: Exchange, now: float, margin: float = VERSION_MARGIN_SECONDS
     ) -> int:
@@ -476,7 +512,7 @@
         terms = AttemptTerms(
             endpoint=record.endpoint,
             team=admission.team.name,
-            time_left=max(0.001, admission.expires_at - now),
+            time_left=max(0.001, self._find_end(admission) - now),
             priority=min(admission.priority, LOWEST_PRIORITY),
             version=exchange.version or (served if min_version else None),
             resume_after=exchange.resume_after,
@@ -508,10 +544,19 @@
         )
         exchange.set_outbound(outbound)
 
+    def _find_end(self, admission: Admission) -> float:
+        """Return when a request ends at the latest."""
+        if self._departure is None:
+            return admission.expires_at
+        return min(admission.expires_at, self._departure.answer_by)
+
     def _enqueue(self, exchange: Exchange, now: float) -> None:
         admission, route = exchange.admission, exchange.route
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
-        states = self._list_candidates(exchange, now) or self._list_loading(exchange)
+        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+        if not states and self._departure is not None:
+            exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
+            return
         if not states:
             left = admission.expires_at - now
             retry_after = draw_retry_after(left, float("inf"), self._rng)
@@ -560,6 +605,8 @@
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now, estimate_pause)):
                 queued.item.refuse(refusal)
+        if self._departure is not None:
+            self._refuse_outlasting(self._departure, now)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
             if exchange.service.engine is not None:
@@ -575,6 +622,16 @@
         self._notices.remove_expired(now, listed)
         self._dispatch_all_queues()
 
+    def _refuse_outlasting(self, departure: StopSchedule, now: float) -> None:
+        """Refuse the queued requests that could not end before this entry stops."""
+        for exchange in list(self._exchanges):
+            if exchange.queue_entry is None:
+                continue
+            states = self._by_service.get(exchange.service.name, [])
+            durations = (state.predict_duration(exchange.size, now) for state in states)
+            if not any(departure.allows_start(duration, now) for duration in durations):
+                exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
+
     def _record_tick(self, now: float) -> None:
         """Log a late tick: a process that stood still or is short of processor time."""
         delay = now - self._ticked_at - TICK_SECONDS
