Bound a version's publication from below as well

Cause: only upper bounds of the publication were used and passed on, the times at which processes had the version. The last confirmation of the store without it, which each process has, bounds it from below, but was dropped.

Change: processes tell each other that bound too. The publication is taken to be 1 s before the earliest process had the version, the delay of an answer behind a full link, but not before 0.5 s after the latest bound.

Messages of earlier builds do not tell the bound. What they report without having observed a publication may be their start or the end of a break, and no longer counts for a version that is known here. A version that this process never saw keeps the limit of an entry that ran on, since the bound holds for it too.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -281,8 +281,15 @@
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
             published_at = now - published.age
+            unpublished_at = None
+            if published.unpublished_age is not None:
+                unpublished_at = now - published.unpublished_age - stream.max_transit_seconds
             self._tables.record_publication(
-                published.model, published.version, published_at, published.observed
+                published.model,
+                published.version,
+                published_at,
+                published.observed,
+                unpublished_at,
             )
 
     def _request_changes(self, stream: PeerStream, table: Table) -> None:
@@ -406,8 +413,15 @@
             rows.append(TableRevision(table.value, position.revision, age, position.era, versions))
         published = []
         for wanted in self._tables.list_shared_versions(now):
-            age = now - wanted.known_by
-            published.append(PublishedVersion(wanted.model, wanted.version, age, wanted.observed))
+            published.append(
+                PublishedVersion(
+                    wanted.model,
+                    wanted.version,
+                    now - wanted.known_by,
+                    wanted.observed,
+                    now - wanted.unpublished_at,
+                )
+            )
         return TableRevisions(rows, now, published)
 
     def _broadcast(self, message: Message) -> None:
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -34,6 +34,9 @@
 # A table that was confirmed within this time before a change has been followed without a break.
 MAX_OBSERVED_AGE_SECONDS = 2.0
 MAX_SHARED_AGE_SECONDS = 60.0  # the limit of a version published before has passed
+# Half of the margin that entries keep to a limit; the rest is for requests that wait at an engine.
+LEARNING_DELAY_SECONDS = 0.5
+MAX_ANSWER_DELAY_SECONDS = 1.0  # on a link that is full of copies of a large catalogue
 MIN_LOGGED_CORRECTION_SECONDS = 0.1  # of the time of a publication; smaller ones are transit times
 # What a store lacks that came back from an older copy is written again within about 2 s.
 REWRITE_SECONDS = 3.0
@@ -110,8 +113,9 @@
     `learnt_at` then stands for the publication. Otherwise it is when the process started or went on
     after the break. `reported_at` is the earliest time of publication reported by other processes,
     and `held_since` the earliest time since which any process, this one included, is known to have
-    the version, so that it was published before; infinite if unknown. Times are in seconds of this
-    process's clock.
+    the version, so that it was published before; infinite if unknown. `unpublished_at` is the
+    latest time at which any process knows that it was not. Times are in seconds of this process's
+    clock.
     """
 
     model: str
@@ -144,19 +148,31 @@
     def compute_limit(self, version_within: float, contact_within: float) -> float:
         """Return when requests may no longer start on an older version.
 
-        It is `version_within` after the publication, whenever this process learnt of it. If nobody
-        knows that time, it counts from the last moment at which the version was known not to be
-        published, but not before `contact_within` after the start or stop of this process, from
-        which on it is held to the limits.
+        It is `version_within` after the publication, whenever this process learnt of it. Answers
+        of the store may have been delayed on their way to all processes, so that the publication
+        is taken to be `MAX_ANSWER_DELAY_SECONDS` before the earliest of them had the version, but
+        not before `LEARNING_DELAY_SECONDS` after the last moment at which it was known not to be
+        published. If nobody knows by when it was, the limit counts from that moment, but not before
+        `contact_within` after the start or stop of this process, from which on it is held to the
+        limits.
 
         >>> WantedVersion("m", 2, learnt_at=6.0, reported_at=1.5).compute_limit(8.0, 3.0)
         9.5
         >>> stopped = WantedVersion("m", 2, learnt_at=6.0, followed=False, unpublished_at=0.5)
         >>> stopped.compute_limit(8.0, 3.0)
         9.0
+        >>> WantedVersion("m", 2, learnt_at=6.0, unpublished_at=5.1).compute_limit(8.0, 3.0)
+        13.6
+        >>> WantedVersion("m", 2, learnt_at=6.0, unpublished_at=1.0).compute_limit(8.0, 3.0)
+        13.0
         """
-        if self.published_by is not None:
-            return self.published_by + version_within
+        latest = self.published_by
+        if latest is not None and isfinite(self.unpublished_at):
+            earliest = latest - MAX_ANSWER_DELAY_SECONDS
+            expected = max(earliest, self.unpublished_at + LEARNING_DELAY_SECONDS)
+            return min(latest, expected) + version_within
+        if latest is not None:
+            return latest + version_within
         limit = max(self.unpublished_at + version_within, self.learnt_at + contact_within)
         return limit if self.at_start else min(limit, self.held_since + version_within)
 
@@ -347,13 +363,21 @@
             state.renew(confirmed_at, confirmed_at)
 
     def record_publication(
-        self, model: str, version: int, published_at: float, observed: bool
+        self,
+        model: str,
+        version: int,
+        published_at: float,
+        observed: bool,
+        unpublished_at: float | None = None,
     ) -> None:
         """Record since when another process has a version; `observed` if it saw the publication.
 
-        The earliest time of each kind counts. A version that a newer one has replaced may be
-        unknown here and is added, since its limit still counts. One that is newer than the cached
-        table is ignored; it is reported again.
+        `unpublished_at` is the latest time at which it knows that the version was not published.
+        An earlier build does not tell it; unless it saw the publication, it may then report a time
+        of before the publication, which counts only if this process has missed the version. The
+        tightest bounds count. A version that a newer one has replaced may be unknown here and is
+        added, since its limit still counts. One that is newer than the cached table is ignored; it
+        is reported again.
         """
         versions = self.wanted_versions.get(model, [])
         if not versions or version > versions[-1].version:
@@ -363,11 +387,17 @@
         if wanted.version != version:
             if len(versions) >= MAX_VERSIONS_PER_MODEL:
                 return
-            wanted = replace(wanted, version=version, followed=False, reported_at=inf)
+            followed = wanted.followed and unpublished_at is not None
+            wanted = replace(wanted, version=version, followed=followed, reported_at=inf)
             wanted = replace(wanted, held_since=published_at)
             versions.insert(index, wanted)
         known = wanted.published_by
-        wanted = replace(wanted, held_since=min(wanted.held_since, published_at))
+        if unpublished_at is not None:
+            wanted = replace(
+                wanted,
+                held_since=min(wanted.held_since, published_at),
+                unpublished_at=max(wanted.unpublished_at, unpublished_at),
+            )
         if observed:
             wanted = replace(wanted, reported_at=min(wanted.reported_at, published_at))
         versions[index] = wanted
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -71,13 +71,16 @@
     """A version of a model that the sender has known for `age` seconds.
 
     `observed` is set if the sender followed the store when the version was published, so that
-    `age` is about the time since then; otherwise it may be shorter.
+    `age` is about the time since then; otherwise it may be shorter. `unpublished_age` is for how
+    many seconds the sender has not known it to be unpublished; infinite if it never has, None in
+    messages of earlier builds.
     """
 
     model: str
     version: int
     age: float
     observed: bool = True
+    unpublished_age: float | None = None
 
 
 class TableRevisions(Message, frozen=True, array_like=True, tag="g-state"):
