Let agents that learn of a version late choose as the others do

What callers would see: versions reach engines later, since agents that choose another version have fewer sources of its chunks.

Cause: how far a transfer has come, which decides whether the next version waits for it, counted from when the agent itself learnt of the version. One that learnt 0.8 s late switched where the others did not. Times count from the earliest process that had the version now.

--- a/src/coltsfootshift/gateway/versions.py
+++ b/src/coltsfootshift/gateway/versions.py
@@ -19,8 +19,9 @@
     A new version may be published while the previous one is still being transferred. Each has
     its own deadline from which requests must be answered by it, so abandoning the first transfer
     would leave no version allowed to serve until the second has reached all engines. The current
-    transfer is therefore finished, unless it has only just started or is stuck. All agents learn
-    of a version at about the same time, so they make the same choice.
+    transfer is therefore finished, unless it has only just started or is stuck. Times count from
+    when the earliest process had a version, so that agents that learn of it late make the same
+    choice.
 
     >>> selector = VersionSelector()
     >>> two, three = WantedVersion("m", 2, 18.0), WantedVersion("m", 3, 21.0)
@@ -54,7 +55,7 @@
         newest, current = wanted[-1], self._current
         if current is None or self._can_switch(current, newest, now):
             self._current = newest
-            self._started_at = now
+            self._started_at = now - max(0.0, newest.learnt_at - newest.known_by)
         return self._current
 
     def _can_switch(self, current: WantedVersion, newest: WantedVersion, now: float) -> bool:
@@ -62,7 +63,7 @@
             return False
         if self._ordered_version >= current.version:
             return True
-        elapsed = newest.learnt_at - self._started_at
+        elapsed = newest.known_by - self._started_at
         return elapsed < MAX_SWITCH_AGE_SECONDS or now - self._started_at > STUCK_TRANSFER_SECONDS
 
 
