Count the age of a peer's report of limits from when it was sent

What callers would see: requests refused by an endpoint whose limit was dropped or raised by a report that had waited on a full link.

Cause: a report states ages, which counted from its arrival. The delay that the stream has measured is added now.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -202,6 +202,8 @@
 
     def _receive_belief(self, stream: PeerStream, message: Message) -> None:
         """Merge a report and pass on what was news: not all processes are connected."""
+        if isinstance(message, EndpointLimitReport):
+            message = _add_transit(message, stream.transit_delay)
         answer = self._observer.belief_received(message, stream.peer_id)
         if answer.reply is not None:
             stream.send(answer.reply)
@@ -429,6 +431,12 @@
             streams[-1].send(message)
 
 
+def _add_transit(report: EndpointLimitReport, seconds: float) -> EndpointLimitReport:
+    """Return a report whose ages include how long it was on its way."""
+    rows = [msgspec.structs.replace(row, age=row.age + seconds) for row in report.rows]
+    return msgspec.structs.replace(report, rows=rows)
+
+
 def make_entry_row(
     instance: InstanceId,
     started_ms: int,
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -28,6 +28,7 @@
     """A stream to a peer that records the messages sent on it."""
 
     max_transit_seconds = 0.0
+    transit_delay = 0.0
 
     def __init__(self, incarnation="1", peer_id="entry-2", role=Role.ENTRY):
         self.sent = []
