Ignore an agent's report of its engine that is late by more than its validity

What callers would see: requests sent to an engine as it was seconds ago, which rejects them, after a report that had waited on a full link.

Cause: the validity of a report counted from its arrival. It counts from when the report was sent now, as far as the stream can tell.

It cannot have broken VERSION: a request names the version that it expects.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -66,8 +66,8 @@
         """Handle entries that were added, removed or changed."""
 
     @abstractmethod
-    def engine_status_received(self, notice: EngineNotice) -> None:
-        """Handle an agent's report of what its engine serves."""
+    def engine_status_received(self, notice: EngineNotice, transit_delay: float) -> None:
+        """Handle an agent's report of what its engine serves, `transit_delay` seconds old."""
 
     def list_beliefs(self) -> list[Message]:
         """Return messages that tell a new peer what this process knows of endpoints."""
@@ -194,7 +194,7 @@
         elif isinstance(message, TableChanges):
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
-            self._observer.engine_status_received(message)
+            self._observer.engine_status_received(message, stream.transit_delay)
         elif isinstance(message, (SuspicionReport, EndpointLimitReport)):
             self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -23,7 +23,7 @@
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
 from coltsfootshift.gateway.departure import StopSchedule
-from coltsfootshift.gateway.endpoint_list import EngineStatus
+from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_entry_row
 from coltsfootshift.gateway.rollout import RolloutTask
@@ -184,7 +184,7 @@
     def roster_changed(self) -> None:
         """Ignore roster changes; only entries share limits with other entries."""
 
-    def engine_status_received(self, notice: EngineNotice) -> None:
+    def engine_status_received(self, notice: EngineNotice, transit_delay: float) -> None:
         """Ignore reports of engines; only entries route requests to them."""
 
     def choose_judging_start(self) -> float:
@@ -330,10 +330,14 @@
         names = [row.instance for row in self.roster.list_rows()]
         self.gateway.set_entries(self.config.instance, names)
 
-    def engine_status_received(self, notice: EngineNotice) -> None:
-        """Apply an agent's report of its engine, which arrives before the store's record."""
-        now = self.reactor.seconds()
-        status = EngineStatus(notice.born, notice.model, notice.version, notice.loading, now)
+    def engine_status_received(self, notice: EngineNotice, transit_delay: float) -> None:
+        """Apply an agent's report of its engine, unless the store's record is newer by now."""
+        if transit_delay > ENGINE_STATUS_TTL_SECONDS:
+            row = {"host": notice.host, "version": notice.version, "age": round(transit_delay, 3)}
+            logger.info("late report of an engine ignored", extra=row)
+            return
+        sent_at = self.reactor.seconds() - transit_delay
+        status = EngineStatus(notice.born, notice.model, notice.version, notice.loading, sent_at)
         self.gateway.update_engine_status(Address(notice.host, notice.port), status)
 
     def choose_judging_start(self) -> float:
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -20,7 +20,7 @@
     def roster_changed(self):
         pass
 
-    def engine_status_received(self, notice):
+    def engine_status_received(self, notice, transit_delay):
         pass
 
 
