Keep a larger margin to a version's limit across regions

Cause: the request was on its way for 1.01 s, on a link between regions, and its withdrawal behind it. The margins of 1 s and 0.25 s, after which nothing is placed or left waiting on an outdated version, did not count that way.

Change: across regions both margins are 1 s larger. Within a region they stay: its links are not shared with other regions. An entry does not know in advance when a link will be full, since it learns of the delay by the messages that are delayed.

Ruled out: a measured delay alone. It is known only after the delayed messages have arrived and have been answered.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -166,6 +166,11 @@
         """The id of the last event sent to the caller, empty if none was."""
         return self._event_buffer.last_id
 
+    @property
+    def attempted(self) -> EndpointState | None:
+        """The endpoint of the attempt in progress, None if there is none."""
+        return None if self._attempt is None else self._attempt.state
+
     @property
     def response_started(self) -> bool:
         """Whether part of the response has been sent to the caller."""
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -5,7 +5,7 @@
 import signal
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from functools import partial
 from math import inf, isfinite
@@ -264,6 +264,7 @@
         dialect: Dialect,
         callers: Address,
         bounds: GatewayBounds,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         row = make_entry_row(
@@ -282,6 +283,7 @@
             self.metrics,
             self.rng,
             self.beliefs,
+            regions,
         )
         self.gateway.notify_peers = self.fleet.notify_peers
         self._callers = callers
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from math import isfinite
@@ -41,6 +41,7 @@
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
 from coltsfootshift.gateway.table_cache import Table, TableCache
+from coltsfootshift.gateway.versions import find_first_limit
 from coltsfootshift.gateway.waiting import (
     MAX_LATE_WAIT_SECONDS,
     QueuedRequest,
@@ -59,6 +60,8 @@
 TICK_SECONDS = 0.02  # bounds the delay in noticing a free slot or an expired queued request
 STALL_LOG_SECONDS = 0.15  # a delay that uses up most of the margins below is logged
 VERSION_MARGIN_SECONDS = 1.0  # allows for the delay until a placed request starts
+# Links between regions are shared by all traffic, and may be full of copies of a large catalogue.
+REMOTE_DELAY_SECONDS = 1.0
 CANCEL_MARGIN_SECONDS = 0.25  # an attempt needs up to this long to stop after cancellation
 # A deadline below this share of the longest seen on the route indicates a caller's retry.
 RETRY_DEADLINE_RATIO = 0.9
@@ -102,7 +105,8 @@
 class Gateway(RequestHandler, ExchangeOwner):
     """Routes callers' requests to endpoints and returns the responses.
 
-    `notify_peers` is called with messages for the other processes.
+    `notify_peers` is called with messages for the other processes. `regions` maps each failure
+    domain to its region.
     """
 
     def __init__(
@@ -116,6 +120,7 @@
         metrics: Metrics,
         rng: Random,
         beliefs: SharedBeliefs | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.reactor = reactor
         self.tables = tables
@@ -124,6 +129,8 @@
         self.notify_peers: Callable[[Message], None] | None = None
         self._departure: StopSchedule | None = None
         self._dialect = dialect
+        self._regions = regions or {}
+        self._region = self._regions.get(domain)
         self._source = source
         self._bounds = bounds
         self._rng = rng
@@ -438,11 +445,14 @@
         if exchange.service.engine is None:
             return states
         min_version = self._find_min_version(exchange, now)
+        min_remote_version = self._find_min_version(exchange, now, remote=True)
         model = exchange.admission.head.model
         candidates = []
         for state in states:
             version = state.record.versions.get(model)
-            if version is None or version < min_version:
+            if version is None:
+                continue
+            if version < (min_remote_version if self._is_remote(state) else min_version):
                 continue
             if exchange.version is not None and version != exchange.version:
                 continue
@@ -469,21 +479,39 @@
                 in_time.append(state)
         return in_time
 
+    def _is_remote(self, state: EndpointState) -> bool:
+        """Return whether an endpoint is in another region than this entry."""
+        return self._regions.get(state.record.failure_domain, self._region) != self._region
+
     def _find_min_version(
-        self, exchange: Exchange, now: float, margin: float = VERSION_MARGIN_SECONDS
+        self,
+        exchange: Exchange,
+        now: float,
+        margin: float = VERSION_MARGIN_SECONDS,
+        remote: bool = False,
     ) -> int:
         """Return the oldest version that may serve a request `margin` seconds from now, 0 for any.
 
-        Each published version has its own limit. Publishing another version while the previous one
-        is being loaded does not postpone the previous one's limit.
+        What is sent to an endpoint in another region (`remote`) may arrive later. Each published
+        version has its own limit. Publishing another version while the previous one is being loaded
+        does not postpone the previous one's limit.
         """
         bounds = self._bounds
+        if remote:
+            margin += REMOTE_DELAY_SECONDS
         for wanted in reversed(self.tables.wanted_versions.get(exchange.admission.head.model, [])):
             limit = wanted.compute_limit(bounds.version_within, bounds.contact_within)
             if now >= limit - margin:
                 return wanted.version
         return 0
 
+    def _measure_time_to_limit(self, exchange: Exchange, served: int, now: float) -> float | None:
+        """Return the seconds until a served version is outdated; None if no newer one is known."""
+        wanted = self.tables.wanted_versions.get(exchange.admission.head.model, [])
+        bounds = self._bounds
+        limit = find_first_limit(wanted, served, bounds.version_within, bounds.contact_within)
+        return round(limit - now, 3) if isfinite(limit) else None
+
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
         tried = self._list_avoided(exchange, states)
@@ -507,7 +535,7 @@
 
     def _send(self, exchange: Exchange, state: EndpointState, now: float) -> None:
         admission, record = exchange.admission, state.record
-        min_version = self._find_min_version(exchange, now)
+        min_version = self._find_min_version(exchange, now, remote=self._is_remote(state))
         served = record.versions.get(admission.head.model)
         terms = AttemptTerms(
             endpoint=record.endpoint,
@@ -530,6 +558,7 @@
                 "predicted": round(state.predict_start(exchange.size, now), 3),
                 "version": served,
                 "min_version": min_version,
+                "version_due_in": self._measure_time_to_limit(exchange, served or 0, now),
                 "limit": state.rate_limit,
                 "parts": head.shared_parts,
             },
@@ -609,8 +638,10 @@
             self._refuse_outlasting(self._departure, now)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
-            if exchange.service.engine is not None:
-                min_version = self._find_min_version(exchange, now, CANCEL_MARGIN_SECONDS)
+            state = exchange.attempted
+            if state is not None and exchange.service.engine is not None:
+                remote = self._is_remote(state)
+                min_version = self._find_min_version(exchange, now, CANCEL_MARGIN_SECONDS, remote)
                 exchange.withdraw_outdated(min_version, now)
         for pool in self._pools.values():
             pool.close_expired()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -143,7 +143,7 @@
 
     There are `endpoints` plain services `e-0`, `e-1`, ... and `engines` model engines `m-0`,
     `m-1`, ..., which serve version 1 of model `m`. Without `confirmed`, the gateway has heard
-    nothing of the store yet.
+    nothing of the store yet. Failure domain `b` is in another region than the gateway's, `a`.
     """
 
     def __init__(
@@ -184,6 +184,7 @@
             BOUNDS,
             Metrics(),
             Random(seed),
+            regions={"a": "north", "b": "south"},
         )
         # The start-up grace is over: the entry knows all others and may use the allowance.
         self.gateway._budget = RetryBudget(*RETRY_BUDGET, started_at=-STARTUP_GRACE_SECONDS)
@@ -192,12 +193,12 @@
         self.factory = CallerFactory(self.gateway, self.clock)
         self._dial_count = 0
 
-    def add_endpoint(self, name, service, port, versions=None, leaving=False, born=0):
+    def add_endpoint(self, name, service, port, versions=None, leaving=False, domain="a", born=0):
         self.tables.endpoints[InstanceId(name)] = EndpointRecord(
             InstanceId(name),
             ServiceName(service),
             Address("10.0.0.9", port),
-            FailureDomain("a"),
+            FailureDomain(domain),
             6,
             leaving=leaving,
             born=born,
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -496,3 +496,40 @@
     ]
     fleet.stream_received(Stream(), TableRevisions([], 0.0, rows))
     assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("domain", "published_for", "allowed"),
+    [("a", 6.75, True), ("a", 7.25, False), ("b", 5.75, True), ("b", 6.25, False)],
+    ids=["own region", "own region, due", "another region", "another region, due"],
+)
+def test_request_that_a_full_link_between_regions_delays_is_not_placed(
+    domain, published_for, allowed
+):
+    """A request that arrives a second late would begin after the limit of its version."""
+    harness = GatewayHarness(endpoints=0, decoder=VersionDecoder())
+    harness.add_endpoint("m-0", "llm", 180, {"m": 1}, domain=domain)
+    harness.tables.wanted_versions["m"] = [WantedVersion("m", 2, harness.clock.seconds())]
+    harness.clock.advance(published_for)
+    assert serves_outdated(harness) is allowed
+
+
+@pytest.mark.parametrize(
+    ("domain", "published_for", "withdrawn"),
+    [("a", 7.5, False), ("a", 7.8, True), ("b", 6.5, False), ("b", 6.8, True)],
+    ids=["own region", "own region, due", "another region", "another region, due"],
+)
+def test_withdrawal_that_a_full_link_between_regions_delays_arrives_in_time(
+    domain, published_for, withdrawn
+):
+    """An engine that gets the withdrawal a second late begins the request after the limit."""
+    harness = GatewayHarness(endpoints=0, decoder=VersionDecoder())
+    harness.add_endpoint("m-0", "llm", 180, {"m": 1}, domain=domain)
+    harness.tables.wanted_versions["m"] = [WantedVersion("m", 2, harness.clock.seconds())]
+    harness.clock.advance(5.0)
+    harness.confirm()
+    harness.gateway.refresh()
+    harness.send_request("model", headers=MODEL_HEADERS)
+    engine = harness.accept()
+    harness.clock.pump([0.1] * round((published_for - 5.0) / 0.1))
+    assert engine.aborted is withdrawn
