Name the times of a leaving entry a stop schedule, and log them

"Departure" already names the requests that leave a full endpoint (docs/GLOSSARY.md). The log line `request placed` now tells how much time the endpoint is given, which a leaving entry shortens, and `leaving` within what time the process has to stop.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -22,12 +22,12 @@
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
-from coltsfootshift.gateway.departure import StopSchedule
 from coltsfootshift.gateway.engines import LocalEngine, VersionOrigin
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask, make_entry_row
 from coltsfootshift.gateway.rollout import RolloutTask
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import Gateway, GatewayBounds
+from coltsfootshift.gateway.stopping import StopSchedule
 from coltsfootshift.gateway.table_cache import (
     EngineStatus,
     ItemDecoder,
@@ -112,7 +112,7 @@
         self.roster = roster
         self.beliefs = SharedBeliefs(self.choose_judging_start())
         self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
-        self.departure: StopSchedule | None = None
+        self.stop_schedule: StopSchedule | None = None
         self.started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         self._incarnation = make_incarnation()
         self.rng = Random(self._incarnation)
@@ -156,13 +156,14 @@
 
     def leave(self) -> None:
         """Stop accepting work, finish the work in flight, then stop the process."""
-        if self.departure is not None:
+        if self.stop_schedule is not None:
             return
-        departure = StopSchedule(self.reactor.seconds(), self.config.stop_within)
-        self.departure = departure
-        logger.info("leaving", extra={"unfinished": self.count_unfinished()})
-        self.stop_new_work(departure)
-        self._check_drained(departure)
+        schedule = StopSchedule(self.reactor.seconds(), self.config.stop_within)
+        self.stop_schedule = schedule
+        unfinished = self.count_unfinished()
+        logger.info("leaving", extra={"unfinished": unfinished, "within": self.config.stop_within})
+        self.stop_new_work(schedule)
+        self._check_drained(schedule)
 
     def reload(self) -> None:
         """Reload the settings; only the seeds may change while the process runs."""
@@ -206,7 +207,7 @@
         """Start the components that are specific to the role."""
 
     @abstractmethod
-    def stop_new_work(self, departure: StopSchedule) -> None:
+    def stop_new_work(self, schedule: StopSchedule) -> None:
         """Stop accepting new work, and end the work in flight in time."""
 
     @abstractmethod
@@ -214,15 +215,15 @@
         """Return the number of requests in flight."""
 
     @abstractmethod
-    def can_stop(self, departure: StopSchedule, now: float) -> bool:
+    def can_stop(self, schedule: StopSchedule, now: float) -> bool:
         """Return whether the process can stop before the end of the time that it has."""
 
-    def _check_drained(self, departure: StopSchedule) -> None:
+    def _check_drained(self, schedule: StopSchedule) -> None:
         now = self.reactor.seconds()
-        overrun = now >= departure.stop_by
-        if not overrun and not self.can_stop(departure, now):
-            interval = min(DRAIN_CHECK_INTERVAL_SECONDS, departure.stop_by - now)
-            self.reactor.callLater(interval, self._check_drained, departure)
+        overrun = now >= schedule.stop_by
+        if not overrun and not self.can_stop(schedule, now):
+            interval = min(DRAIN_CHECK_INTERVAL_SECONDS, schedule.stop_by - now)
+            self.reactor.callLater(interval, self._check_drained, schedule)
             return
         unfinished = self.count_unfinished()
         self.stop_role()
@@ -290,7 +291,7 @@
     @property
     def ready(self) -> bool:
         """Whether the directory may list this entry to callers."""
-        return self.tables.complete and self.departure is None
+        return self.tables.complete and self.stop_schedule is None
 
     def list_caller_addresses(self, domain: str, region: str) -> list[Address]:
         """Return the addresses of entries for callers in a failure domain and region."""
@@ -359,13 +360,13 @@
         assert self.source is not None
         self.source.start()
 
-    def stop_new_work(self, departure: StopSchedule) -> None:
+    def stop_new_work(self, schedule: StopSchedule) -> None:
         """Announce that this entry is leaving; stop listening after callers had time to move."""
-        self.gateway.leave(departure)
+        self.gateway.leave(schedule)
         self._publish_readiness()
         now = self.reactor.seconds()
-        self.reactor.callLater(max(0.0, departure.listen_until - now), self._stop_listening)
-        delay = max(0.0, departure.close_idle_at - now)
+        self.reactor.callLater(max(0.0, schedule.listen_until - now), self._stop_listening)
+        delay = max(0.0, schedule.close_idle_at - now)
         self.reactor.callLater(delay, self._caller_factory.close_idle)
 
     def stop_role(self) -> None:
@@ -378,9 +379,9 @@
         """Return the number of requests without a final answer."""
         return self.gateway.unfinished
 
-    def can_stop(self, departure: StopSchedule, now: float) -> bool:
+    def can_stop(self, schedule: StopSchedule, now: float) -> bool:
         """Return whether callers have had time to move and have been sent all of their answers."""
-        moved = now > departure.close_idle_at + DRAIN_CHECK_INTERVAL_SECONDS
+        moved = now > schedule.close_idle_at + DRAIN_CHECK_INTERVAL_SECONDS
         return moved and not self.gateway.unfinished and not self._caller_factory.count_busy()
 
     def _stop_listening(self) -> None:
@@ -389,7 +390,7 @@
     def _publish_readiness(self) -> None:
         own = self.roster.own
         assert own is not None
-        leaving = self.departure is not None
+        leaving = self.stop_schedule is not None
         if (own.ready, own.leaving) == (self.ready, leaving):
             return
         self.roster.own = msgspec.structs.replace(own, ready=self.ready, leaving=leaving)
@@ -444,14 +445,14 @@
         self.listener.register(Purpose.WEIGHTS, self.rollout)
         self.rollout.start(self.started_ms)
 
-    def stop_new_work(self, departure: StopSchedule) -> None:
+    def stop_new_work(self, schedule: StopSchedule) -> None:
         """Do nothing: other agents request chunks in flight from another source."""
 
     def count_unfinished(self) -> int:
         """Return 0: an agent has no work that must be finished before it stops."""
         return 0
 
-    def can_stop(self, departure: StopSchedule, now: float) -> bool:
+    def can_stop(self, schedule: StopSchedule, now: float) -> bool:
         """Return True: an agent can stop immediately."""
         return True
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -31,12 +31,12 @@
     RouteCheck,
 )
 from coltsfootshift.gateway.crashes import Suspect
-from coltsfootshift.gateway.departure import StopSchedule
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement
+from coltsfootshift.gateway.stopping import StopSchedule
 from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
@@ -114,7 +114,7 @@
         self.metrics = metrics
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
-        self._departure: StopSchedule | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._dialect = dialect
         self._source = source
         self._bounds = bounds
@@ -154,10 +154,10 @@
         self._ticked_at = self.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=False)
 
-    def leave(self, departure: StopSchedule) -> None:
+    def leave(self, schedule: StopSchedule) -> None:
         """Refuse new requests from some time on, and answer all in time for the process to stop."""
-        self._departure = departure
-        delay = departure.answer_by - self.reactor.seconds()
+        self._stop_schedule = schedule
+        delay = schedule.answer_by - self.reactor.seconds()
         self.reactor.callLater(max(0.0, delay), self._answer_unfinished)
 
     def break_off(self) -> None:
@@ -173,7 +173,7 @@
     @property
     def closing(self) -> bool:
         """Whether this entry is leaving, so that keep-alive connections are closed."""
-        return self._departure is not None
+        return self._stop_schedule is not None
 
     @property
     def unfinished(self) -> int:
@@ -222,7 +222,7 @@
             incoming.respond(error.status, [], b"")
             return
         admission = Admission(head, incoming.arrived_at, incoming.body)
-        if self._departure is not None and now > self._departure.admit_until:
+        if self._stop_schedule is not None and now > self._stop_schedule.admit_until:
             self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
             return
         for check in self._checks:
@@ -267,7 +267,7 @@
 
         Another entry may place what this one can't end before it stops.
         """
-        if self._departure is not None:
+        if self._stop_schedule is not None:
             return 0.0
         left = exchange.admission.expires_at - self.reactor.seconds()
         return draw_retry_after(left, 0.0, self._rng)
@@ -410,8 +410,8 @@
     def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the endpoints that may serve a request and can end it before this entry stops."""
         states = self._by_service.get(exchange.service.name, [])
-        if self._departure is not None:
-            states = self._list_ending_in_time(states, exchange, self._departure, now)
+        if self._stop_schedule is not None:
+            states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         if exchange.service.engine is None:
             return states
         min_version = self._find_min_version(exchange, now)
@@ -429,20 +429,20 @@
     def _list_loading(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the engines that are loading; they serve again within a second."""
         states = self._by_service.get(exchange.service.name, [])
-        if self._departure is not None:
-            states = self._list_ending_in_time(states, exchange, self._departure, now)
+        if self._stop_schedule is not None:
+            states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         return [state for state in states if state.record.loading]
 
     def _list_ending_in_time(
         self,
         states: list[EndpointState],
         exchange: Exchange,
-        departure: StopSchedule,
+        schedule: StopSchedule,
         now: float,
     ) -> list[EndpointState]:
         in_time = []
         for state in states:
-            if departure.allows_start(state.predict_duration(exchange.size, now), now):
+            if schedule.allows_start(state.predict_duration(exchange.size, now), now):
                 in_time.append(state)
         return in_time
 
@@ -498,6 +498,7 @@
                 "own": state.own_in_flight,
                 "load": round(state.estimate_load(now), 1),
                 "predicted": round(state.predict_start(exchange.size, now), 3),
+                "time_left": round(terms.time_left, 3),
                 "version": served,
                 "min_version": min_version,
                 "limit": state.rate_limit,
@@ -516,15 +517,15 @@
 
     def _find_end(self, admission: Admission) -> float:
         """Return when a request ends at the latest."""
-        if self._departure is None:
+        if self._stop_schedule is None:
             return admission.expires_at
-        return min(admission.expires_at, self._departure.answer_by)
+        return min(admission.expires_at, self._stop_schedule.answer_by)
 
     def _enqueue(self, exchange: Exchange, now: float) -> None:
         admission, route = exchange.admission, exchange.route
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
         states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
-        if not states and self._departure is not None:
+        if not states and self._stop_schedule is not None:
             exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
             return
         if not states:
@@ -572,8 +573,8 @@
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now)):
                 queued.item.refuse(refusal)
-        if self._departure is not None:
-            self._refuse_outlasting(self._departure, now)
+        if self._stop_schedule is not None:
+            self._refuse_outlasting(self._stop_schedule, now)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
             if exchange.service.engine is not None:
@@ -587,14 +588,14 @@
             self.refresh()
         self._dispatch_all_queues()
 
-    def _refuse_outlasting(self, departure: StopSchedule, now: float) -> None:
+    def _refuse_outlasting(self, schedule: StopSchedule, now: float) -> None:
         """Refuse the queued requests that could not end before this entry stops."""
         for exchange in list(self._exchanges):
             if exchange.queue_entry is None:
                 continue
             states = self._by_service.get(exchange.service.name, [])
             durations = (state.predict_duration(exchange.size, now) for state in states)
-            if not any(departure.allows_start(duration, now) for duration in durations):
+            if not any(schedule.allows_start(duration, now) for duration in durations):
                 exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
 
     def _record_tick(self, now: float) -> None:
--- a/src/coltsfootshift/gateway/departure.py
+++ b/src/coltsfootshift/gateway/stopping.py
@@ -1,4 +1,4 @@
-"""When a leaving process refuses requests, answers what is unfinished and stops."""
+"""The times at which a leaving process refuses requests, gives final answers and stops."""
 
 from __future__ import annotations
 
