--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -249,17 +249,26 @@
     return caller
 
 
-def test_connection_opened_just_before_the_port_closes_gets_an_answer():
-    """It was closed before its first request arrived."""
+@pytest.mark.parametrize("used", [False, True], ids=["new", "kept"])
+def test_request_that_arrives_just_after_the_port_has_closed_gets_an_answer(used):
+    """Its connection was closed together with the port."""
     harness = LeavingHarness()
+    connect = harness.connect
+    if used:
+        caller = harness.send_request("book", request="r-0")
+        harness.accept().protocol.dataReceived(make_response(b"ok", request="r-0"))
+        assert read_status(caller) == 200
+        caller.clear()
     harness.entry.leave()
     harness.advance(3.9)
-    caller = harness.connect()
+    if not used:
+        caller = connect()
     harness.advance(0.3)
     assert not harness.listening
     harness.connect = lambda: caller
     harness.send_request("book")
-    assert read_status(caller) == 503
+    assert read_status(caller) == 503 and caller.protocol is None
+    assert harness.accept() is None
 
 
 def test_entry_without_requests_stops_early():
