Stop the entry in a test only once its requests are at endpoints

The test of an entry whose time to drain is over failed once, in a run of the whole suite: {'not_run', 'unknown'} instead of {'unknown'}. It took for granted that 0.6 s are enough for six callers to have sent their requests and for endpoints to have been found. A request that no endpoint was sent is rightly answered not_run; which of the two was late is not known, as the run kept no reasons. The test now waits until all six are in progress at endpoints; what it asserts is unchanged.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -49,6 +49,11 @@
     return bool(status["shares"]["settled"])
 
 
+def count_sent(fleet: Fleet, entry: str) -> int:
+    """Return how many requests of an entry are in progress at endpoints."""
+    return sum(row["own"] for row in fleet.read_status(entry)["endpoints"].values())
+
+
 def request_leave(fleet: Fleet, name: str, by_list: bool) -> None:
     if by_list:
         fleet.publish("instances", {name: fleet.records[name] | {"state": "leaving"}})
@@ -85,6 +90,7 @@
     fleet.wait_until(lambda: has_serving_endpoints(fleet, "entry-4"), 25, "all engines serve")
     answers: list[Answer] = []
     threads = start_long_requests(fleet, "entry-4", answers)
+    fleet.wait_until(lambda: count_sent(fleet, "entry-4") == len(threads), 2, "all are sent")
     request_leave(fleet, "entry-4", by_list=False)
     for thread in threads:
         thread.join()
