--- a/tests/run_known_red.py
+++ b/tests/run_known_red.py
@@ -15,6 +15,8 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 PREFIX = "test: "
+# Most tests wait for processes. A file runs in one worker, since its tests may share a fixture.
+WORKERS = ["-n", "2", "--dist", "loadfile"]
 
 
 class Recorder:
@@ -47,7 +49,8 @@
 def main() -> int:
     """Run the suite with the arguments of the command line and return the exit status."""
     recorder = Recorder()
-    status = pytest.main(["--rootdir", str(ROOT), *sys.argv[1:]], plugins=[recorder])
+    arguments = ["--rootdir", str(ROOT), *(sys.argv[1:] or WORKERS)]
+    status = pytest.main(arguments, plugins=[recorder])
     if status not in (pytest.ExitCode.OK, pytest.ExitCode.TESTS_FAILED):
         return int(status)
     known = read_known()
