--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -53,6 +53,10 @@
     def record_limit(self, state: EndpointState, head: ResponseHead) -> None:
         """Record whether an endpoint names a limit in a response."""
 
+    @abstractmethod
+    def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
+        """Record what an endpoint states about itself in a response."""
+
     @abstractmethod
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record that the connection of an attempt ended before its response was complete.
@@ -162,6 +166,11 @@
         """The id of the last event sent to the caller, empty if none was."""
         return self._event_buffer.last_id
 
+    @property
+    def attempted(self) -> EndpointState | None:
+        """The endpoint of the attempt in progress, None if there is none."""
+        return None if self._attempt is None else self._attempt.state
+
     @property
     def response_started(self) -> bool:
         """Whether part of the response has been sent to the caller."""
@@ -222,6 +231,8 @@
         attempt.last_received_at = attempt.progressed_at = attempt.begun_at = now
         attempt.state.record_response_start(self.request, head.load, now)
         self._owner.record_limit(attempt.state, head)
+        if head.status != STATUS_MISDIRECTED:  # otherwise another endpoint may have answered
+            self._owner.record_notices(attempt.state, head)
         if head.not_run or head.status == STATUS_MISDIRECTED:
             self._handle_not_run(attempt, head, now)
             return
@@ -434,16 +445,25 @@
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
+        self.give_up("the deadline has passed", "deadline")
+
+    def give_up(self, reason: str, outcome: str = "") -> None:
+        """End the exchange now: as not run if that is certain, else as unknown or broken off.
+
+        `outcome` is the text of the log line, by default the reason.
+        """
+        if self.ended:
+            return
         if self._attempt is not None and not self._outbound.sent:
             self.possible_runs -= 1
         self._cancel_attempt()
-        self._close("deadline")
+        self._close(outcome or reason)
         if self.response_started:
             self.incoming.abort()
         elif self.possible_runs > 0:
-            self._owner.send_refusal(self, Unknown("the deadline has passed", status=504))
+            self._owner.send_refusal(self, Unknown(reason, status=504))
         else:
-            self._owner.send_refusal(self, NotRun("the deadline has passed", retry_after=0.0))
+            self._owner.send_refusal(self, NotRun(reason, retry_after=0.0))
 
     def _on_caller_disconnect(self) -> None:
         """Cancel everything in progress when the caller has disconnected."""
@@ -493,5 +513,7 @@
         return WorkSize()
     head = admission.head
     prompt_tokens = head.prompt_tokens or int(service.engine.typical_prompt)
-    answer_tokens = head.answer_hint or head.answer_tokens or int(service.engine.typical_answer)
+    typical_answer = int(service.engine.typical_answer)
+    # The caller states the most tokens that it takes; few answers are as long.
+    answer_tokens = head.answer_hint or min(head.answer_tokens or typical_answer, typical_answer)
     return WorkSize(prompt_tokens, answer_tokens)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
+from functools import partial
 from math import isfinite
 from random import Random
 from typing import Any
@@ -32,12 +33,21 @@
 )
 from coltsfootshift.gateway.crashes import Suspect
 from coltsfootshift.gateway.endpoint_limits import compute_share
+from coltsfootshift.gateway.endpoint_list import EngineStatus
+from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
-from coltsfootshift.gateway.placement import EndpointState, Placement
-from coltsfootshift.gateway.table_cache import EngineStatus, Table, TableCache
-from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, draw_retry_after
+from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
+from coltsfootshift.gateway.stopping import StopSchedule
+from coltsfootshift.gateway.table_cache import Table, TableCache
+from coltsfootshift.gateway.versions import find_first_limit
+from coltsfootshift.gateway.waiting import (
+    MAX_LATE_WAIT_SECONDS,
+    QueuedRequest,
+    ServiceQueue,
+    draw_retry_after,
+)
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Message
@@ -50,15 +60,17 @@
 TICK_SECONDS = 0.02  # bounds the delay in noticing a free slot or an expired queued request
 STALL_LOG_SECONDS = 0.15  # a delay that uses up most of the margins below is logged
 VERSION_MARGIN_SECONDS = 1.0  # allows for the delay until a placed request starts
+# Links between regions are shared by all traffic, and may be full of copies of a large catalogue.
+REMOTE_DELAY_SECONDS = 1.0
 CANCEL_MARGIN_SECONDS = 0.25  # an attempt needs up to this long to stop after cancellation
 # A deadline below this share of the longest seen on the route indicates a caller's retry.
 RETRY_DEADLINE_RATIO = 0.9
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
+STATUS_UNAVAILABLE = 503
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
-ADMIT_AFTER_LEAVING_SECONDS = 2.0  # later requests could outlast the time to stop
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
-MIN_DEPARTURE_RATE = 0.01  # of a service whose endpoints name a limit of zero
+LEAVING_REASON = "this entry is leaving"
 
 logger = get_logger("gateway")
 
@@ -93,7 +105,8 @@
 class Gateway(RequestHandler, ExchangeOwner):
     """Routes callers' requests to endpoints and returns the responses.
 
-    `notify_peers` is called with messages for the other processes.
+    `notify_peers` is called with messages for the other processes. `regions` maps each failure
+    domain to its region.
     """
 
     def __init__(
@@ -107,14 +120,17 @@
         metrics: Metrics,
         rng: Random,
         beliefs: SharedBeliefs | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.reactor = reactor
         self.tables = tables
         self.metrics = metrics
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
-        self.leaving_since: float | None = None
+        self._stop_schedule: StopSchedule | None = None
         self._dialect = dialect
+        self._regions = regions or {}
+        self._region = self._regions.get(domain)
         self._source = source
         self._bounds = bounds
         self._rng = rng
@@ -135,6 +151,7 @@
         self._queues: dict[ServiceName, ServiceQueue] = {}
         self._exchanges: set[Exchange] = set()
         self._losses: dict[str, _PendingLoss] = {}
+        self._notices = EndpointNotices()
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
         self._own = InstanceId("")
@@ -153,6 +170,17 @@
         self._ticked_at = self.reactor.seconds()
         self._loop.start(TICK_SECONDS, now=False)
 
+    def leave(self, schedule: StopSchedule) -> None:
+        """Refuse new requests from some time on, and answer all in time for the process to stop."""
+        self._stop_schedule = schedule
+        delay = schedule.answer_by - self.reactor.seconds()
+        self.reactor.callLater(max(0.0, delay), self._answer_unfinished)
+
+    def break_off(self) -> None:
+        """End the requests in flight, so that begun responses do not look complete."""
+        for exchange in list(self._exchanges):
+            exchange.give_up(LEAVING_REASON)
+
     @property
     def limits(self) -> CallerLimits:
         """The limits for callers in the current catalogue."""
@@ -161,7 +189,7 @@
     @property
     def closing(self) -> bool:
         """Whether this entry is leaving, so that keep-alive connections are closed."""
-        return self.leaving_since is not None
+        return self._stop_schedule is not None
 
     @property
     def unfinished(self) -> int:
@@ -191,7 +219,7 @@
             if spec is None:
                 continue
             state = self._update_state(name, record, spec)
-            if not record.leaving:
+            if not record.leaving and not self._notices.is_leaving(record.incarnation):
                 by_service.setdefault(record.service, []).append(state)
         for name in [name for name in self._states if name not in self.tables.endpoints]:
             del self._states[name]
@@ -210,8 +238,8 @@
             incoming.respond(error.status, [], b"")
             return
         admission = Admission(head, incoming.arrived_at, incoming.body)
-        if self._rejects_new_requests(now):
-            self._answer_refusal(incoming, head, NotRun("this entry is leaving", retry_after=0.0))
+        if self._stop_schedule is not None and now > self._stop_schedule.admit_until:
+            self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
             return
         for check in self._checks:
             decision = check.find_refusal(admission, self.tables, now)
@@ -231,7 +259,7 @@
         """Place a failed request on another endpoint, or queue it.
 
         Returns False if endpoints may end under the request, the retry budget is spent, no endpoint
-        can serve the request, or the request has ended.
+        can serve the request (before this entry stops), or the request has ended.
         """
         now = self.reactor.seconds()
         standing = self.beliefs.crashes.find_standing(exchange.admission.suspects, now)
@@ -251,7 +279,12 @@
         return not exchange.ended
 
     def draw_retry_after(self, exchange: Exchange) -> float:
-        """Return the seconds after which the caller of an unplaced request should retry."""
+        """Return the seconds after which the caller of an unplaced request should retry.
+
+        Another entry may place what this one can't end before it stops.
+        """
+        if self._stop_schedule is not None:
+            return 0.0
         left = exchange.admission.expires_at - self.reactor.seconds()
         return draw_retry_after(left, 0.0, self._rng)
 
@@ -270,6 +303,19 @@
             self.notify_peers(message)
         self._apply_limit(state, now)
 
+    def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
+        """Keep requests from an endpoint that leaves, or that wants none for a while."""
+        now = self.reactor.seconds()
+        name, service = state.record.incarnation, state.record.service
+        if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
+            self._notices.record_pause(name, head.request, now + head.retry_after, now)
+            current = self._states.get(state.record.endpoint)  # the record may have been replaced
+            if current is not None and current.record.incarnation == name:
+                current.paused_until = max(current.paused_until, now + head.retry_after)
+        if head.leaving and self._notices.record_leaving(name, head.request, now):
+            states = self._by_service.get(service, [])
+            self._by_service[service] = [s for s in states if s.record.incarnation != name]
+
     def record_loss(self, exchange: Exchange, state: EndpointState, begun: bool) -> None:
         """Record a lost connection, and judge shortly after whether the endpoint has ended."""
         record = state.record
@@ -362,10 +408,11 @@
             share = compute_share(limit, state.record.endpoint, self._own, self._entries)
         state.limit_rate(limit, share, now)
 
-    def _rejects_new_requests(self, now: float) -> bool:
-        if self.leaving_since is None:
-            return False
-        return now - self.leaving_since > ADMIT_AFTER_LEAVING_SECONDS
+    def _answer_unfinished(self) -> None:
+        """End the requests without a response; responses that have begun may still complete."""
+        for exchange in list(self._exchanges):
+            if not exchange.response_started:
+                exchange.give_up(LEAVING_REASON)
 
     def _update_state(
         self, name: InstanceId, record: EndpointRecord, spec: ServiceSpec
@@ -379,6 +426,7 @@
         if state is None:
             state = EndpointState(record, spec.engine)
             self._states[name] = state
+            state.paused_until = self._notices.get_pause_end(record.incarnation)
             self._apply_limit(state, self.reactor.seconds())
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
@@ -390,46 +438,83 @@
         return state
 
     def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        """Return the endpoints that may serve a request and can end it before this entry stops."""
         states = self._by_service.get(exchange.service.name, [])
+        if self._stop_schedule is not None:
+            states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         if exchange.service.engine is None:
             return states
         min_version = self._find_min_version(exchange, now)
+        min_remote_version = self._find_min_version(exchange, now, remote=True)
         model = exchange.admission.head.model
         candidates = []
         for state in states:
             version = state.record.versions.get(model)
-            if version is None or version < min_version:
+            if version is None:
+                continue
+            if version < (min_remote_version if self._is_remote(state) else min_version):
                 continue
             if exchange.version is not None and version != exchange.version:
                 continue
             candidates.append(state)
         return candidates
 
-    def _list_loading(self, exchange: Exchange) -> list[EndpointState]:
+    def _list_loading(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the engines that are loading; they serve again within a second."""
         states = self._by_service.get(exchange.service.name, [])
+        if self._stop_schedule is not None:
+            states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         return [state for state in states if state.record.loading]
 
+    def _list_ending_in_time(
+        self,
+        states: list[EndpointState],
+        exchange: Exchange,
+        schedule: StopSchedule,
+        now: float,
+    ) -> list[EndpointState]:
+        in_time = []
+        for state in states:
+            if schedule.allows_start(state.predict_duration(exchange.size, now), now):
+                in_time.append(state)
+        return in_time
+
+    def _is_remote(self, state: EndpointState) -> bool:
+        """Return whether an endpoint is in another region than this entry."""
+        return self._regions.get(state.record.failure_domain, self._region) != self._region
+
     def _find_min_version(
-        self, exchange: Exchange, now: float, margin: float = VERSION_MARGIN_SECONDS
+        self,
+        exchange: Exchange,
+        now: float,
+        margin: float = VERSION_MARGIN_SECONDS,
+        remote: bool = False,
     ) -> int:
         """Return the oldest version that may serve a request `margin` seconds from now, 0 for any.
 
-        Each published version has its own limit. Publishing another version while the previous one
-        is being loaded does not postpone the previous one's limit.
+        What is sent to an endpoint in another region (`remote`) may arrive later. Each published
+        version has its own limit. Publishing another version while the previous one is being loaded
+        does not postpone the previous one's limit.
         """
         bounds = self._bounds
+        if remote:
+            margin += REMOTE_DELAY_SECONDS
         for wanted in reversed(self.tables.wanted_versions.get(exchange.admission.head.model, [])):
             limit = wanted.compute_limit(bounds.version_within, bounds.contact_within)
             if now >= limit - margin:
                 return wanted.version
         return 0
 
+    def _measure_time_to_limit(self, exchange: Exchange, served: int, now: float) -> float | None:
+        """Return the seconds until a served version is outdated; None if no newer one is known."""
+        wanted = self.tables.wanted_versions.get(exchange.admission.head.model, [])
+        bounds = self._bounds
+        limit = find_first_limit(wanted, served, bounds.version_within, bounds.contact_within)
+        return round(limit - now, 3) if isfinite(limit) else None
+
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
-        tried = exchange.tried
-        if exchange.send_count and len(tried) >= len(states):
-            tried = set()
+        tried = self._list_avoided(exchange, states)
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
         state = self._placement.choose(
             open_states, exchange.size, tried, self._is_likely_retry(exchange), now
@@ -439,14 +524,23 @@
         self._send(exchange, state, now)
         return True
 
+    def _list_avoided(self, exchange: Exchange, states: list[EndpointState]) -> set[InstanceId]:
+        """Return the endpoints that were tried, or none if no other takes the request in time."""
+        admission = exchange.admission
+        latest = min(admission.expires_at, admission.arrived_at + MAX_LATE_WAIT_SECONDS)
+        for state in states:
+            if state.record.endpoint not in exchange.tried and state.paused_until <= latest:
+                return exchange.tried
+        return set()
+
     def _send(self, exchange: Exchange, state: EndpointState, now: float) -> None:
         admission, record = exchange.admission, state.record
-        min_version = self._find_min_version(exchange, now)
+        min_version = self._find_min_version(exchange, now, remote=self._is_remote(state))
         served = record.versions.get(admission.head.model)
         terms = AttemptTerms(
             endpoint=record.endpoint,
             team=admission.team.name,
-            time_left=max(0.001, admission.expires_at - now),
+            time_left=max(0.001, self._find_end(admission) - now),
             priority=min(admission.priority, LOWEST_PRIORITY),
             version=exchange.version or (served if min_version else None),
             resume_after=exchange.resume_after,
@@ -462,8 +556,10 @@
                 "own": state.own_in_flight,
                 "load": round(state.estimate_load(now), 1),
                 "predicted": round(state.predict_start(exchange.size, now), 3),
+                "time_left": round(terms.time_left, 3),
                 "version": served,
                 "min_version": min_version,
+                "version_due_in": self._measure_time_to_limit(exchange, served or 0, now),
                 "limit": state.rate_limit,
                 "parts": head.shared_parts,
             },
@@ -478,10 +574,19 @@
         )
         exchange.set_outbound(outbound)
 
+    def _find_end(self, admission: Admission) -> float:
+        """Return when a request ends at the latest."""
+        if self._stop_schedule is None:
+            return admission.expires_at
+        return min(admission.expires_at, self._stop_schedule.answer_by)
+
     def _enqueue(self, exchange: Exchange, now: float) -> None:
         admission, route = exchange.admission, exchange.route
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
-        states = self._list_candidates(exchange, now) or self._list_loading(exchange)
+        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+        if not states and self._stop_schedule is not None:
+            exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
+            return
         if not states:
             left = admission.expires_at - now
             retry_after = draw_retry_after(left, float("inf"), self._rng)
@@ -495,7 +600,7 @@
         queued = QueuedRequest(
             exchange, admission.priority, admission.arrived_at, send_by, admission.expires_at, late
         )
-        refusal = queue.offer(queued, self._compute_slot_interval(states), now)
+        refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now)
         if refusal is not None:
             exchange.refuse(refusal)
             return
@@ -515,22 +620,29 @@
         self._longest_deadlines[name] = longest
         return deadline < RETRY_DEADLINE_RATIO * longest
 
-    def _compute_slot_interval(self, states: list[EndpointState]) -> float:
-        """Return the expected seconds between two slots that become free for this entry."""
-        rate = sum(state.compute_departure_rate() for state in states)
-        return self._entry_count / max(MIN_DEPARTURE_RATE, rate)
+    def _estimate_pause(self, exchange: Exchange, now: float) -> float:
+        """Return for how many seconds all endpoints that can serve a request are paused."""
+        ends = [state.paused_until for state in self._list_candidates(exchange, now)]
+        return max(0.0, min(ends, default=0.0) - now)
 
     def _tick(self) -> None:
         now = self.reactor.seconds()
         self._record_tick(now)
         self.tables.record_running(now)
+        estimate_pause = None
+        if self._notices.has_pauses(now):
+            estimate_pause = partial(self._estimate_pause, now=now)
         for queue in self._queues.values():
-            for queued, refusal in list(queue.expire(now)):
+            for queued, refusal in list(queue.expire(now, estimate_pause)):
                 queued.item.refuse(refusal)
+        if self._stop_schedule is not None:
+            self._refuse_outlasting(self._stop_schedule, now)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
-            if exchange.service.engine is not None:
-                min_version = self._find_min_version(exchange, now, CANCEL_MARGIN_SECONDS)
+            state = exchange.attempted
+            if state is not None and exchange.service.engine is not None:
+                remote = self._is_remote(state)
+                min_version = self._find_min_version(exchange, now, CANCEL_MARGIN_SECONDS, remote)
                 exchange.withdraw_outdated(min_version, now)
         for pool in self._pools.values():
             pool.close_expired()
@@ -538,8 +650,20 @@
             self.apply_limits()
         if self.tables.remove_expired(now):
             self.refresh()
+        listed = (record.incarnation for record in self.tables.endpoints.values())
+        self._notices.remove_expired(now, listed)
         self._dispatch_all_queues()
 
+    def _refuse_outlasting(self, schedule: StopSchedule, now: float) -> None:
+        """Refuse the queued requests that could not end before this entry stops."""
+        for exchange in list(self._exchanges):
+            if exchange.queue_entry is None:
+                continue
+            states = self._by_service.get(exchange.service.name, [])
+            durations = (state.predict_duration(exchange.size, now) for state in states)
+            if not any(schedule.allows_start(duration, now) for duration in durations):
+                exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
+
     def _record_tick(self, now: float) -> None:
         """Log a late tick: a process that stood still or is short of processor time."""
         delay = now - self._ticked_at - TICK_SECONDS
