--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -220,11 +220,17 @@
         silent = self._roster.remove_silent(now)
         for name in silent:
             logger.info("entry silent", extra={"entry": name})
+        self._log_traffic(now)
         self._choose_peers()
         if silent:
             self._observer.roster_changed()
         self.announce()
 
+    def _log_traffic(self, now: float) -> None:
+        sent = self._context.traffic.take_report(now)
+        if sent is not None:
+            logger.info("bytes sent to other regions", extra={"sent": sent})
+
     def _choose_peers(self) -> None:
         addresses = self._list_addresses()
         targets = {}
@@ -326,6 +332,15 @@
         if pending is not None and now - pending[1] < timeout:
             return
         self._pending_requests[table] = (stream.peer_id, now)
+        logger.info(
+            "changes requested",
+            extra={
+                "table": table.value,
+                "peer": stream.peer_id,
+                "after": after.revision,
+                "unanswered": pending[0] if pending is not None else None,
+            },
+        )
         stream.send(TableChangesRequest(table.value, after.revision, after.era))
 
     def _lacks_version(self, row: TableRevision) -> bool:
@@ -363,6 +378,18 @@
         rows = [TableItem(i.key, i.revision, i.value, i.era) for i in items if i.value is not None]
         position = self._tables.get_position(table)
         age = self._tables.measure_age(table, now)
+        if rows:
+            logger.info(
+                "changes sent",
+                extra={
+                    "table": table.value,
+                    "peer": stream.peer_id,
+                    "after": message.after,
+                    "revision": position.revision,
+                    "items": len(rows),
+                    "bytes": sum(len(row.value) for row in rows),
+                },
+            )
         stream.send(
             TableChanges(table.value, position.revision, age, rows, keys, now, position.era)
         )
--- a/src/coltsfootshift/peer.py
+++ b/src/coltsfootshift/peer.py
@@ -32,6 +32,7 @@
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.registry import StreamRegistry
 from coltsfootshift.settings import StreamTiming
+from coltsfootshift.traffic import TrafficMeter
 
 __all__ = ["PeerStream", "StreamContext", "StreamOwner"]
 
@@ -81,6 +82,7 @@
         self.make_hello = make_hello
         self.keys = keys
         self.registry: StreamRegistry[PeerStream] = StreamRegistry()
+        self.traffic = TrafficMeter(metrics)
 
     def change_keys(self, keys: KeyRing) -> None:
         """Replace the keys.
@@ -117,6 +119,7 @@
         self.dialled = purpose is not None
         self.peer_key = b""
         self.peer_leaving = False
+        self.peer_is_near = False
         self._expected_instance = expected
         self._find_owner = find_owner
         self._owner: StreamOwner | None = None
@@ -193,7 +196,13 @@
             return
         is_traffic = not isinstance(message, Heartbeat)
         self._heartbeat_timer.record_sent(self.context.reactor.seconds(), is_traffic)
-        self._send_frame(encode_message(message))
+        frame = encode_message(message)
+        if self.peer is not None:
+            kind = str(message.__struct_config__.tag)
+            self.context.traffic.record_sent(
+                self.peer.region, self.peer_is_near, kind, len(frame) + PREFIX_BYTES
+            )
+        self._send_frame(frame)
         if is_traffic:
             self._schedule_heartbeat()
 
@@ -309,6 +318,7 @@
         self.peer_key = action.key
         assert self.purpose is not None
         own_hello = self.context.make_hello(self.purpose)
+        self.peer_is_near = action.peer.region == own_hello.region
         if self.context.registry.is_redundant(self, own_hello, self.context.timing.heartbeat):
             self.refuse(Refusal.DUPLICATE, "another stream to the same process is open")
             return
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -5,6 +5,8 @@
 from coltsfootshift.gateway.fleet import FleetObserver
 from coltsfootshift.ids import InstanceId, Role
 from coltsfootshift.messages import TableChangesRequest
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.traffic import TrafficMeter
 
 
 class Observer(FleetObserver):
@@ -53,3 +55,4 @@
 class Context:
     def __init__(self, clock):
         self.reactor = clock
+        self.traffic = TrafficMeter(Metrics())
