Check the ranges of fields in messages of peers; an odd row costs that row only

What callers would see: a peer's message with an unknown table, or with a row of the wrong type, raised an error in the receiver or closed the stream, so that everything else of that peer waited for the next one. A negative age confirmed a table far in the future, for which revoked keys would have been accepted.

The types of the messages now state the ranges (msgspec), an invalid row of a list is left out with one log line, and an invalid message on a stream of the fleet or of the weights is ignored with one: what it held is repeated or requested again. Frames that hold no message close the stream as before.

--- a/src/coltsfootshift/codec.py
+++ b/src/coltsfootshift/codec.py
@@ -7,12 +7,13 @@
 
 from __future__ import annotations
 
-from typing import Any
+from typing import Any, get_args, get_origin
 
 import msgpack
 import msgspec
 
-from coltsfootshift.errors import CodecError
+from coltsfootshift.errors import CodecError, InvalidMessageError
+from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Hello, Message, Proof
 
 __all__ = ["decode_handshake", "decode_message", "encode_message"]
@@ -22,6 +23,8 @@
 MAX_MAP_ITEMS = 0
 MAX_EXTENSION_BYTES = 0
 
+logger = get_logger("codec")
+
 _MessageTypes = dict[Any, type[Message]]
 
 
@@ -48,7 +51,11 @@
 
 
 def decode_message(frame: bytes) -> Message:
-    """Decode a frame into a message; raises `CodecError` if the frame is invalid."""
+    """Decode a frame into a message.
+
+    Raises `CodecError` if the frame holds no message of a known kind, and `InvalidMessageError` if
+    it holds one whose fields are invalid. An invalid row of a list of rows is logged and left out.
+    """
     return _decode(frame, _MESSAGE_TYPES, MAX_ITEMS)
 
 
@@ -70,6 +77,41 @@
             max_str_len=len(frame),
             max_bin_len=len(frame),
         )
-        return msgspec.convert(content, types[content[0]])
+        message_type = types[content[0]]
     except (ValueError, TypeError, LookupError, RecursionError, msgpack.UnpackException) as error:
         raise CodecError(f"frame of {len(frame)} bytes holds no message: {error}") from error
+    try:
+        return _convert(content, message_type)
+    except (ValueError, TypeError, RecursionError) as error:
+        text = f"frame of {len(frame)} bytes: invalid {message_type.__name__}: {error}"
+        raise InvalidMessageError(text) from error
+
+
+def _convert(content: list[Any], message_type: type[Message]) -> Message:
+    try:
+        return msgspec.convert(content, message_type)
+    except msgspec.ValidationError as error:
+        kept = _leave_out_invalid_rows(content, message_type)
+        message = msgspec.convert(kept, message_type)
+        row = {"kind": message_type.__name__, "cause": str(error)}
+        logger.warning("invalid rows of a message left out", extra=row)
+        return message
+
+
+def _leave_out_invalid_rows(content: list[Any], message_type: type[Message]) -> list[Any]:
+    """Return the content without the rows that do not fit the type of their list."""
+    kept = list(content)
+    for index, info in enumerate(msgspec.structs.fields(message_type), start=1):
+        row_types = get_args(info.type) if get_origin(info.type) is list else ()
+        if index >= len(kept) or not row_types or not isinstance(kept[index], list):
+            continue
+        kept[index] = [row for row in kept[index] if _is_valid(row, row_types[0])]
+    return kept
+
+
+def _is_valid(row: Any, row_type: Any) -> bool:
+    try:
+        msgspec.convert(row, row_type)
+    except (ValueError, TypeError, RecursionError):
+        return False
+    return True
--- a/src/coltsfootshift/errors.py
+++ b/src/coltsfootshift/errors.py
@@ -2,7 +2,13 @@
 
 from __future__ import annotations
 
-__all__ = ["CodecError", "ColtsfootshiftError", "SettingsError", "StreamError"]
+__all__ = [
+    "CodecError",
+    "ColtsfootshiftError",
+    "InvalidMessageError",
+    "SettingsError",
+    "StreamError",
+]
 
 
 class ColtsfootshiftError(Exception):
@@ -13,6 +19,10 @@
     """A frame could not be decoded into a message."""
 
 
+class InvalidMessageError(CodecError):
+    """A frame holds a message of a known kind with a field of a wrong type or range."""
+
+
 class StreamError(ColtsfootshiftError):
     """A stream to a peer failed, or the peer violated its protocol."""
 
--- a/src/coltsfootshift/gateway/beliefs.py
+++ b/src/coltsfootshift/gateway/beliefs.py
@@ -146,12 +146,12 @@
         survived_at = self.crashes.get_survival(suspicion.suspect, now)
         crashes = []
         for crash in suspicion.crashes.values():
-            crashes.append(CrashRow(crash.endpoint, now - crash.at, crash.request))
+            crashes.append(CrashRow(crash.endpoint, max(0.0, now - crash.at), crash.request))
         return SuspicionRow(
             suspicion.suspect,
             suspicion.repeats,
             crashes,
-            None if survived_at is None else now - survived_at,
+            None if survived_at is None else max(0.0, now - survived_at),
             suspicion.quarantined,
         )
 
@@ -182,5 +182,5 @@
 
 
 def _make_limit_report(limits: Iterable[NamedLimit], now: float) -> EndpointLimitReport:
-    rows = [EndpointLimitRow(item.endpoint, item.rate, now - item.at) for item in limits]
+    rows = [EndpointLimitRow(item.endpoint, item.rate, max(0.0, now - item.at)) for item in limits]
     return EndpointLimitReport(rows, now)
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -200,6 +200,10 @@
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
 
+    def message_invalid(self, stream: PeerStream, text: str) -> None:
+        """Go on without an invalid message: what it held is sent or requested again."""
+        logger.warning("invalid message ignored", extra={"peer": stream.peer_id, "cause": text})
+
     def _receive_belief(self, stream: PeerStream, message: Message) -> None:
         """Merge a report and pass on what was news: not all processes are connected."""
         if isinstance(message, EndpointLimitReport):
@@ -377,7 +381,7 @@
         items, keys = self._tables.list_items(table, after)
         rows = [TableItem(i.key, i.revision, i.value, i.era) for i in items if i.value is not None]
         position = self._tables.get_position(table)
-        age = self._tables.measure_age(table, now)
+        age = max(0.0, self._tables.measure_age(table, now))
         if rows:
             logger.info(
                 "changes sent",
@@ -434,7 +438,7 @@
             position = self._tables.get_position(table)
             if not position.revision:
                 continue
-            age = self._tables.measure_age(table, now)
+            age = max(0.0, self._tables.measure_age(table, now))
             versions = []
             if table is Table.OPERATOR:
                 known = self._tables.get_operator_versions()
@@ -446,9 +450,9 @@
                 PublishedVersion(
                     wanted.model,
                     wanted.version,
-                    now - wanted.known_by,
+                    max(0.0, now - wanted.known_by),
                     wanted.observed,
-                    now - wanted.unpublished_at,
+                    max(0.0, now - wanted.unpublished_at),
                 )
             )
         return TableRevisions(rows, now, published)
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -213,6 +213,10 @@
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a weights stream")
 
+    def message_invalid(self, stream: PeerStream, text: str) -> None:
+        """Go on without an invalid message: a chunk that it belongs to is requested again."""
+        logger.warning("invalid message ignored", extra={"peer": stream.peer_id, "cause": text})
+
     def _find_spec(self) -> EngineSpec | None:
         catalogue = self._tables.catalogue
         service = catalogue.services.get(self._service) if catalogue else None
--- a/src/coltsfootshift/messages/base.py
+++ b/src/coltsfootshift/messages/base.py
@@ -2,17 +2,35 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
 __all__ = [
+    "Age",
     "Heartbeat",
     "Hello",
+    "Index",
     "Leaving",
     "Message",
+    "Name",
+    "Port",
     "Proof",
+    "WholeNumber",
 ]
 
 
+MAX_WHOLE_NUMBER = 2**63 - 1  # of msgpack's signed 64 bits
+MAX_NAME_CHARACTERS = 512
+
+# Ranges of the fields of messages, checked when a message is decoded.
+Age = Annotated[float, msgspec.Meta(ge=0)]  # in seconds; infinite if unknown
+Index = Annotated[int, msgspec.Meta(ge=0, le=2**32 - 1)]
+Name = Annotated[str, msgspec.Meta(min_length=1, max_length=MAX_NAME_CHARACTERS)]
+Port = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+WholeNumber = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE_NUMBER)]
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """Base class of all messages between processes."""
 
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Literal
+
 import msgspec
 
-from coltsfootshift.messages.base import Message
+from coltsfootshift.messages.base import Age, Message, Name, Port, WholeNumber
 
 __all__ = [
     "ChunkDigests",
@@ -26,14 +28,17 @@
 ]
 
 
+TableName = Literal["operator", "endpoints"]
+
+
 class EntryRow(msgspec.Struct, frozen=True, array_like=True):
     """State of an entry as it announces itself; `sequence` rises with each change and start."""
 
-    instance: str
-    sequence: int
-    host: str
-    peer_port: int
-    caller_port: int
+    instance: Name
+    sequence: WholeNumber
+    host: Name
+    peer_port: Port
+    caller_port: Port
     region: str
     failure_domain: str
     ready: bool
@@ -49,8 +54,8 @@
 class OperatorVersion(msgspec.Struct, frozen=True, array_like=True):
     """The version that the operator gave to the sender's item with this key."""
 
-    key: str
-    version: int
+    key: Name
+    version: WholeNumber
 
 
 class TableRevision(msgspec.Struct, frozen=True, array_like=True):
@@ -60,10 +65,10 @@
     from an older copy of itself.
     """
 
-    table: str
-    revision: int
-    age: float
-    era: int = 0
+    table: TableName
+    revision: WholeNumber
+    age: Age
+    era: WholeNumber = 0
     versions: list[OperatorVersion] = []
 
 
@@ -76,11 +81,11 @@
     messages of earlier builds.
     """
 
-    model: str
-    version: int
-    age: float
+    model: Name
+    version: WholeNumber
+    age: Age
     observed: bool = True
-    unpublished_age: float | None = None
+    unpublished_age: Age | None = None
 
 
 class TableRevisions(Message, frozen=True, array_like=True, tag="g-state"):
@@ -97,30 +102,30 @@
 class TableChangesRequest(Message, frozen=True, array_like=True, tag="g-ask"):
     """Requests the changes of a table after a revision of an era."""
 
-    table: str
-    after: int
-    era: int = 0
+    table: TableName
+    after: WholeNumber
+    era: WholeNumber = 0
 
 
 class TableItem(msgspec.Struct, frozen=True, array_like=True):
     """One item of a table, unchanged from the store as it was in `era`."""
 
-    key: str
-    revision: int
+    key: Name
+    revision: WholeNumber
     value: bytes
-    era: int = 0
+    era: WholeNumber = 0
 
 
 class TableChanges(Message, frozen=True, array_like=True, tag="g-told"):
     """Items changed after the requested revision, and all keys that the table now holds."""
 
-    table: str
-    revision: int
-    age: float
+    table: TableName
+    revision: WholeNumber
+    age: Age
     items: list[TableItem]
     keys: list[str]
     sent_at: float
-    era: int = 0
+    era: WholeNumber = 0
 
 
 class EngineNotice(Message, frozen=True, array_like=True, tag="g-engine"):
@@ -129,11 +134,11 @@
     `born` is the start time of the engine in Unix milliseconds, 0 if unknown.
     """
 
-    host: str
-    port: int
-    born: int
+    host: Name
+    port: Port
+    born: WholeNumber
     model: str
-    version: int
+    version: WholeNumber
     loading: bool
     sent_at: float
 
@@ -141,8 +146,8 @@
 class CrashRow(msgspec.Struct, frozen=True, array_like=True):
     """The end of an endpoint `age` seconds ago, while a request with the digest `request` began."""
 
-    endpoint: str
-    age: float
+    endpoint: Name
+    age: Age
     request: bytes
 
 
@@ -154,10 +159,10 @@
     has decided that the suspect causes crashes.
     """
 
-    suspect: str
+    suspect: Name
     repeats: bool
     crashes: list[CrashRow]
-    survived_age: float | None = None
+    survived_age: Age | None = None
     quarantined: bool = False
 
 
@@ -171,9 +176,9 @@
 class EndpointLimitRow(msgspec.Struct, frozen=True, array_like=True):
     """What an endpoint has named `age` seconds ago: requests a second, None for no limit."""
 
-    endpoint: str
+    endpoint: Name
     rate: float | None
-    age: float
+    age: Age
 
 
 class EndpointLimitReport(Message, frozen=True, array_like=True, tag="g-limits"):
--- a/src/coltsfootshift/messages/weights.py
+++ b/src/coltsfootshift/messages/weights.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 
-from coltsfootshift.messages.base import Message
+from coltsfootshift.messages.base import Index, Message, Name, WholeNumber
 
 __all__ = [
     "Bitfield",
@@ -20,6 +22,11 @@
 ]
 
 
+MAX_BITFIELD_BYTES = 64 * 1024  # half a million chunks
+
+Bits = Annotated[bytes, msgspec.Meta(max_length=MAX_BITFIELD_BYTES)]
+
+
 class ManifestRequest(Message, frozen=True, array_like=True, tag="m-ask"):
     """Requests the manifest with a digest from a peer."""
 
@@ -40,37 +47,37 @@
     """
 
     digest: str
-    bits: bytes
-    exists: bytes = b""
+    bits: Bits
+    exists: Bits = b""
 
 
 class Have(Message, frozen=True, array_like=True, tag="have"):
     """Indexes of chunks that the sender newly holds, or newly found to exist in its region."""
 
     digest: str
-    indexes: list[int]
-    exists: list[int] = []
+    indexes: list[Index]
+    exists: list[Index] = []
 
 
 class ChunkRequest(Message, frozen=True, array_like=True, tag="c-ask"):
     """Requests one chunk from a peer."""
 
     digest: str
-    index: int
+    index: Index
 
 
 class ChunkRefused(Message, frozen=True, array_like=True, tag="c-no"):
     """The sender does not hold the requested chunk, or has no free upload slot."""
 
     digest: str
-    index: int
+    index: Index
 
 
 class ChunkData(Message, frozen=True, array_like=True, tag="chunk"):
     """One complete chunk; the receiver checks it against the manifest."""
 
     digest: str
-    index: int
+    index: Index
     data: bytes
 
 
@@ -78,17 +85,17 @@
     """A part of a chunk of `total` bytes; the parts of a chunk are sent in order."""
 
     digest: str
-    index: int
-    offset: int
-    total: int
+    index: Index
+    offset: WholeNumber
+    total: WholeNumber
     data: bytes
 
 
 class ServingRow(msgspec.Struct, frozen=True, array_like=True):
     """Digest of the weights that an instance's engine serves; `sequence` rises with changes."""
 
-    instance: str
-    sequence: int
+    instance: Name
+    sequence: WholeNumber
     digest: str
 
 
--- a/src/coltsfootshift/peer.py
+++ b/src/coltsfootshift/peer.py
@@ -14,7 +14,7 @@
 
 from coltsfootshift.backlog import Backlog
 from coltsfootshift.codec import decode_handshake, decode_message, encode_message
-from coltsfootshift.errors import CodecError
+from coltsfootshift.errors import CodecError, InvalidMessageError
 from coltsfootshift.frames import PREFIX_BYTES, FrameReader, FrameTooLargeError, make_prefix
 from coltsfootshift.handshake import (
     Handshake,
@@ -59,6 +59,13 @@
     def stream_closed(self, stream: PeerStream, reason: str) -> None:
         """Handle the loss of a stream; called once for each opened stream."""
 
+    def message_invalid(self, stream: PeerStream, text: str) -> None:
+        """Handle a message of a known kind with an invalid field; closes the stream by default.
+
+        A task whose messages are all repeated or requested again may go on without it.
+        """
+        stream.refuse(Refusal.GARBAGE, text)
+
 
 class StreamContext:
     """The identity, clock, timing, metrics and keys that all streams of a process share.
@@ -225,6 +232,13 @@
         decode = decode_handshake if self._owner is None else decode_message
         try:
             message = decode(frame)
+        except InvalidMessageError as error:
+            self.context.metrics.count("messages_invalid")
+            if self._owner is None:
+                self.refuse(Refusal.GARBAGE, str(error))
+            else:
+                self._owner.message_invalid(self, str(error))
+            return
         except CodecError as error:
             self.refuse(Refusal.GARBAGE, str(error))
             return
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+import logging
+from collections.abc import Callable, Iterator
 
 import pytest
 
@@ -15,6 +16,17 @@
 QUICK_STREAMS = {"heartbeat": 0.2, "silence": 0.8, "retry_most": 0.5}
 
 
+@pytest.fixture
+def lines(caplog: pytest.LogCaptureFixture) -> Iterator[Callable[[], list[str]]]:
+    """Return a function that gives the messages logged so far."""
+    root = logging.getLogger("coltsfootshift")
+    propagates = root.propagate
+    root.propagate = True
+    caplog.set_level(logging.INFO, "coltsfootshift")
+    yield lambda: [record.getMessage() for record in caplog.records]
+    root.propagate = propagates
+
+
 @pytest.fixture(scope="module")
 def fleet() -> Iterator[Fleet]:
     """Return a fleet with a platform and an origin, shared by the tests of a module.
