--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -121,6 +121,15 @@
         self.server.server_close()
 
 
+@dataclass(frozen=True)
+class _Event:
+    """A change of an item, as the store sends it in `row`."""
+
+    key: str
+    revision: int
+    row: object
+
+
 class StoreStandIn(StandIn):
     """The platform's store: versioned items, paged range reads, long-polling watches.
 
@@ -130,7 +139,7 @@
 
     def __init__(self) -> None:
         self.items: dict[str, dict] = {}
-        self.events: list[dict] = []
+        self.events: list[_Event] = []
         self.revision = 0
         self.era = 1
         self.first_event = 0
@@ -145,12 +154,23 @@
             self.revision += 1
             if value is None:
                 self.items.pop(key, None)
-                self.events.append({"key": key, "rev": self.revision, "deleted": True})
+                deleted = {"key": key, "rev": self.revision, "deleted": True}
+                self.events.append(_Event(key, self.revision, deleted))
             else:
                 data = value if isinstance(value, bytes) else json.dumps(value).encode()
                 text = base64.b64encode(data).decode()
                 self.items[key] = {"key": key, "value": text, "rev": self.revision, "lease": 0}
-                self.events.append(self.items[key])
+                self.events.append(_Event(key, self.revision, self.items[key]))
+            self.condition.notify_all()
+
+    def put_row(self, key: str, row) -> None:
+        """Write an item that is sent as `row`, which need not be valid; `REV` is its revision."""
+        with self.condition:
+            self.revision += 1
+            if isinstance(row, dict):
+                row = {name: self.revision if item == "REV" else item for name, item in row.items()}
+            self.items[key] = row
+            self.events.append(_Event(key, self.revision, row))
             self.condition.notify_all()
 
     def copy(self) -> tuple:
@@ -180,7 +200,7 @@
         headers = {"Content-Type": "application/json", "Store-Era": str(era)}
         if fields is None:
             return 410, b"", headers
-        return 200, json.dumps(fields).encode(), headers
+        return 200, json.dumps(fields).replace("Infinity", "1e999").encode(), headers
 
     def _range(self, query):
         with self.condition:
@@ -197,9 +217,9 @@
                 if not self.first_event <= after <= self.revision:
                     return self.era, None
                 events = [
-                    item
-                    for item in self.events
-                    if item["rev"] > after and item["key"].startswith(query["prefix"])
+                    event.row
+                    for event in self.events
+                    if event.revision > after and event.key.startswith(query["prefix"])
                 ]
                 remaining = until - time.monotonic()
                 if events or remaining <= 0:
@@ -209,12 +229,16 @@
 
 
 class EndpointStandIn(StandIn):
-    """A plain service; sends its name in a sealed response after `delay` seconds."""
+    """A plain service; sends its name in a sealed response after `delay` seconds.
+
+    `headers` are added to its responses.
+    """
 
     def __init__(self, name: str) -> None:
         self.name = name
         self.delay = 0.0
         self.orders: list[dict] = []
+        self.headers: dict[str, str] = {}
         super().__init__()
 
     def handle(self, method, path, query, body, headers):
@@ -223,7 +247,7 @@
             return 421, b"", {"X-Instance-Id": self.name}
         self.orders.append(row)
         time.sleep(self.delay)
-        answer = {"X-Attempt-Id": row["x-attempt-id"], "X-Response-Seal": "seal"}
+        answer = {"X-Attempt-Id": row["x-attempt-id"], "X-Response-Seal": "seal", **self.headers}
         return 200, f"{self.name} {method} {path}".encode() + body, answer
 
 
@@ -231,7 +255,8 @@
     """A model engine: staging memory, load orders, status report.
 
     `staged` is the version that is staged and serving at the start; 0 means none. If
-    `corrupt_next_version` is set, chunk 0 is corrupted once all chunks have been staged.
+    `corrupt_next_version` is set, chunk 0 is corrupted once all chunks have been staged. `report`
+    replaces the status report.
     """
 
     def __init__(self, staged: int = 0) -> None:
@@ -240,6 +265,7 @@
         self.orders: list[dict] = []
         self.loaded: dict[int, bytes] = {}
         self.corrupt_next_version = False
+        self.report: bytes | None = None
         self.born = int(time.time() * 1000)
         for index in range(CHUNKS if staged else 0):
             self.staged[index] = make_chunk(staged, index)
@@ -248,7 +274,7 @@
     def handle(self, method, path, query, body, headers):
         index = int(query["num"]) if "num" in query else -1
         if path == "/api/report":
-            return 200, json.dumps(self.describe()).encode(), {}
+            return 200, self.report or json.dumps(self.describe()).encode(), {}
         if path == f"/api/stage-put/{MODEL}":
             self.staged[index] = body
             if self.corrupt_next_version and len(self.staged) == CHUNKS:
