--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -9,27 +9,21 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import pytest
+from platform_fleet import Fleet, book, is_ready
 from platform_standins import (
-    BOUNDS,
     CHUNKS,
-    ENGINE_SERVICE,
     HOST,
     KEY,
     MODEL,
-    PLAIN_SERVICE,
-    EndpointStandIn,
     EngineStandIn,
     OriginStandIn,
-    Program,
     StoreStandIn,
     find_ports,
     make_chunk,
     make_config,
-    make_record,
     make_settings,
     send_request,
     wait_for,
-    write_settings,
 )
 
 MAX_CONFIG_DELAY_SECONDS = 2.0
@@ -38,38 +32,6 @@
 LONG_ANSWERS = 8  # together more than the system buffers for a slow caller
 
 
-class Fleet:
-    """A store, an origin, a plain endpoint, and the processes that a test starts."""
-
-    def __init__(self, folder):
-        self.folder = folder
-        self.store = StoreStandIn()
-        self.origin = OriginStandIn()
-        self.endpoint = EndpointStandIn("e-1")
-        self.programs = []
-        self.store.put("op/config", make_config(3, self.origin.address))
-        self.store.put("servers/e-1", make_record(PLAIN_SERVICE, self.endpoint.address))
-
-    def start_entry(self, name="entry-1", store=None, seeds=(), **bounds):
-        ports = find_ports(6)
-        fields = make_settings(name, store or self.store.address, ports, list(seeds))
-        fields["bounds"] = {**BOUNDS, **bounds}
-        self.start(name, "entry", fields)
-        return ports
-
-    def start(self, name, role, fields):
-        settings = write_settings(self.folder / f"{name}.toml", fields)
-        program = Program(role, settings, self.folder / f"{name}.log")
-        self.programs.append(program)
-        return program
-
-    def close(self):
-        for program in self.programs:
-            program.kill()
-        for standin in (self.store, self.endpoint, self.origin):
-            standin.close()
-
-
 @pytest.fixture
 def fleet(tmp_path):
     started = Fleet(tmp_path)
@@ -77,15 +39,6 @@
     started.close()
 
 
-def book(ports, key=KEY, route="book", request="r-1"):
-    headers = {"Host": "desk.example", "X-Attempt-Id": request, "X-Api-Key": key}
-    return send_request(ports[0], "POST", f"/{route}/1", headers, b"tent")
-
-
-def is_ready(ports):
-    return send_request(ports[1], "GET", "/api/ready")[0] == 200
-
-
 def test_entry_serves_callers_by_the_catalogue(fleet):
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
@@ -229,20 +182,7 @@
     wait_for(lambda: is_ready(entry))
     port = find_ports(1)[0]
     for number, engine in enumerate(engines):
-        host = f"127.0.1.{number + 1}"
-        record = make_record(ENGINE_SERVICE, f"{host}:{engine.port}", models=[])
-        fleet.store.put(f"servers/m-{number}", record)
-        fields = make_settings(
-            f"agent-{number}",
-            fleet.store.address,
-            [port, port + 1],
-            [f"{HOST}:{entry[2]}"],
-            app=engine.address,
-            service=ENGINE_SERVICE,
-        )
-        fields["ip"] = host
-        fields["listen"] = {}
-        fleet.start(f"agent-{number}", "agent", fields)
+        fleet.start_agent(number, engine, entry, port)
     return entry
 
 
