--- a/tests/test_codec.py
+++ b/tests/test_codec.py
@@ -5,9 +5,10 @@
 import tracemalloc
 from enum import Enum
 from types import NoneType, UnionType
-from typing import Any, get_args, get_origin, get_type_hints
+from typing import Annotated, Any, Literal, Union, get_args, get_origin, get_type_hints
 
 import msgpack
+import msgspec
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -35,14 +36,29 @@
         return SCALARS[kind]
     if get_origin(kind) is list:
         return st.lists(make_strategy(*get_args(kind)), max_size=8)
-    if isinstance(kind, UnionType):
+    if get_origin(kind) is Annotated:
+        return make_bounded_strategy(*get_args(kind)[:2])
+    if get_origin(kind) is Literal:
+        return st.sampled_from(get_args(kind))
+    if isinstance(kind, UnionType) or get_origin(kind) is Union:
         return st.one_of([make_strategy(choice) for choice in get_args(kind)])
     if isinstance(kind, type) and issubclass(kind, Enum):
         return st.sampled_from(kind)
-    hints = get_type_hints(kind)
+    hints = get_type_hints(kind, include_extras=True)
     return st.builds(kind, *[make_strategy(hints[name]) for name in kind.__struct_fields__])
 
 
+def make_bounded_strategy(kind: Any, bounds: msgspec.Meta) -> st.SearchStrategy:
+    """Return the values of a type within the bounds of a message's field."""
+    if kind is int:
+        return st.integers(bounds.ge, bounds.le)
+    if kind is float:
+        return st.floats(bounds.ge, bounds.le, allow_nan=False)
+    if kind is str:
+        return st.text(min_size=bounds.min_length or 0, max_size=40)
+    return SCALARS[kind]
+
+
 MESSAGES = st.one_of([make_strategy(kind) for kind in MESSAGE_TYPES])
 
 
