Send changes of the catalogue to peers as differences, compressed

A process that asks for changes now tells the digests of the values that it has, and gets a difference to one of them (parts of the JSON text, compressed), or the compressed value. Differences are checked by the digest of their result; what cannot be decoded, or is missing, no longer raises the position of the table, and the whole table is asked for once.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 from random import Random
 
 import msgspec
@@ -10,6 +11,12 @@
 
 from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.gateway.beliefs import BeliefAnswer
+from coltsfootshift.gateway.item_values import (
+    EncodedValue,
+    UndecodableValueError,
+    ValueEncoding,
+    digest_value,
+)
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.table_cache import (
     Item,
@@ -25,6 +32,7 @@
     EngineNotice,
     EntryList,
     EntryRow,
+    HeldValue,
     Leaving,
     Message,
     OperatorVersion,
@@ -82,6 +90,15 @@
         return False
 
 
+@dataclass(frozen=True, slots=True)
+class _PendingRequest:
+    """A request for the changes of a table, or for the whole table, that has no answer yet."""
+
+    peer: InstanceId
+    sent_at: float
+    is_whole: bool
+
+
 class FleetTask(StreamOwner):
     """Owns the streams to entries and exchanges gossip on them.
 
@@ -112,7 +129,7 @@
         self._rng = rng
         self._streams: dict[InstanceId, list[PeerStream]] = {}
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
-        self._pending_requests: dict[Table, tuple[InstanceId, float]] = {}
+        self._pending_requests: dict[Table, _PendingRequest] = {}
         self._announced: dict[Table, tuple[TablePosition, PeerStream]] = {}
         self._behind_since: dict[Table, tuple[TablePosition, float]] = {}
         self._ticked_at = context.reactor.seconds()
@@ -289,6 +306,10 @@
                     self._announced[table] = (announced, stream)
                 self._request_changes(stream, table)
             if announced <= cached and self._lacks_version(row):
+                logger.info(
+                    "peer has a newer item than the store",
+                    extra={"table": table.value, "peer": stream.peer_id},
+                )
                 self._request_table(stream, table)
         for published in message.published:
             # Without the transit delay: an age that is too high would end the version too soon.
@@ -320,11 +341,7 @@
         self._send_request(stream, table, after, timeout)
 
     def _request_table(self, stream: PeerStream, table: Table) -> None:
-        """Request all items from a peer that has a newer one than the store that came back."""
-        logger.info(
-            "peer has a newer item than the store",
-            extra={"table": table.value, "peer": stream.peer_id},
-        )
+        """Request all items from a peer."""
         self._send_request(stream, table, TablePosition(), REQUEST_TIMEOUT_SECONDS)
 
     def _send_request(
@@ -333,19 +350,21 @@
         """Request what changed after a position, unless another request has not timed out yet."""
         now = self._context.reactor.seconds()
         pending = self._pending_requests.get(table)
-        if pending is not None and now - pending[1] < timeout:
+        if pending is not None and now - pending.sent_at < timeout:
             return
-        self._pending_requests[table] = (stream.peer_id, now)
+        is_whole = after == TablePosition()
+        self._pending_requests[table] = _PendingRequest(stream.peer_id, now, is_whole)
         logger.info(
             "changes requested",
             extra={
                 "table": table.value,
                 "peer": stream.peer_id,
                 "after": after.revision,
-                "unanswered": pending[0] if pending is not None else None,
+                "unanswered": pending.peer if pending is not None else None,
             },
         )
-        stream.send(TableChangesRequest(table.value, after.revision, after.era))
+        held = [] if is_whole else self._list_held_values(table)
+        stream.send(TableChangesRequest(table.value, after.revision, after.era, held))
 
     def _lacks_version(self, row: TableRevision) -> bool:
         """Return whether a peer has a newer version of an operator's item than this process."""
@@ -368,18 +387,30 @@
         self._behind_since[table] = (cached, since)
         return now - since < STORE_ANSWER_SECONDS
 
-    def _remove_request(self, table: Table, peer: InstanceId) -> None:
-        """Remove the pending request of a table if it was sent to this peer."""
+    def _list_held_values(self, table: Table) -> list[HeldValue]:
+        """Return what differences may begin from; records of endpoints are too small for them."""
+        if table is not Table.OPERATOR:
+            return []
+        items, _ = self._tables.list_items(table, TablePosition())
+        return [HeldValue(item.key, digest_value(item.value)) for item in items if item.value]
+
+    def _remove_request(self, table: Table, peer: InstanceId) -> bool:
+        """Remove the pending request of a table if it was sent to this peer.
+
+        Returns whether it was for the whole table.
+        """
         pending = self._pending_requests.get(table)
-        if pending is not None and pending[0] == peer:
+        if pending is not None and pending.peer == peer:
             del self._pending_requests[table]
+            return pending.is_whole
+        return False
 
     def _send_changes(self, stream: PeerStream, message: TableChangesRequest) -> None:
         table = Table(message.table)
         now = self._context.reactor.seconds()
         after = TablePosition(message.era, message.after)
         items, keys = self._tables.list_items(table, after)
-        rows = [TableItem(i.key, i.revision, i.value, i.era) for i in items if i.value is not None]
+        rows = self._encode_items(items, message)
         position = self._tables.get_position(table)
         age = max(0.0, self._tables.measure_age(table, now))
         if rows:
@@ -398,12 +429,55 @@
             TableChanges(table.value, position.revision, age, rows, keys, now, position.era)
         )
 
+    def _encode_items(self, items: list[Item], request: TableChangesRequest) -> list[TableItem]:
+        bases = {held.key: held.digest for held in request.held or ()}
+        rows = []
+        for item in items:
+            if item.value is None:
+                continue
+            encoded = EncodedValue(ValueEncoding.PLAIN, item.value)
+            if request.held is not None:
+                encoded = self._tables.operator_values.encode(item.value, bases.get(item.key, b""))
+            rows.append(
+                TableItem(
+                    item.key,
+                    item.revision,
+                    encoded.data,
+                    item.era,
+                    encoded.encoding.value,
+                    encoded.digest,
+                    encoded.base,
+                )
+            )
+        return rows
+
+    def _decode_items(self, rows: list[TableItem], peer: InstanceId) -> list[Item]:
+        """Return the items; one that cannot be decoded is logged and left out."""
+        items = []
+        for row in rows:
+            encoded = EncodedValue(ValueEncoding(row.encoding), row.value, row.digest, row.base)
+            try:
+                value = self._tables.operator_values.decode(encoded)
+            except UndecodableValueError as error:
+                extra = {"key": row.key, "revision": row.revision, "peer": peer}
+                logger.warning("value of a peer not decoded", extra={**extra, "cause": str(error)})
+                continue
+            items.append(Item(row.key, row.revision, value, row.era))
+        return items
+
     def _apply_changes(self, stream: PeerStream, message: TableChanges) -> None:
         table = Table(message.table)
-        self._remove_request(table, stream.peer_id)
+        was_whole = self._remove_request(table, stream.peer_id)
         now = self._context.reactor.seconds()
-        received = [Item(row.key, row.revision, row.value, row.era) for row in message.items]
-        items = self._tables.merge_items(table, received, message.keys)
+        received = self._decode_items(message.items, stream.peer_id)
+        items, missing = self._tables.merge_items(table, received, message.keys)
+        if missing or len(received) < len(message.items):
+            # The position must not go past an item that is missing here.
+            row = {"table": table.value, "peer": stream.peer_id, "missing": missing[:9]}
+            logger.warning("incomplete changes of a peer ignored", extra=row)
+            if not was_whole:
+                self._request_table(stream, table)
+            return
         confirmed_at = now - message.age - stream.max_transit_seconds
         answer = TableAnswer(table, tuple(items), message.revision, True, confirmed_at, message.era)
         if self._tables.apply(answer, now):
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -13,6 +13,7 @@
     EndpointList,
     EngineStatus,
 )
+from coltsfootshift.gateway.item_values import ValueHistory
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
 from coltsfootshift.ids import InstanceId
 from coltsfootshift.logs import get_logger
@@ -280,6 +281,7 @@
         self._started_at = started_at
         self.catalogue: GatewayCatalogue | None = None
         self.endpoint_list = EndpointList()
+        self.operator_values = ValueHistory()
         self.wanted_versions: dict[str, list[WantedVersion]] = {}
         self._decoder = decoder
         self._tables = {table: _TableState() for table in Table}
@@ -432,16 +434,20 @@
         items = self._tables[table].items
         return [item for item in items.values() if item.position > after], list(items)
 
-    def merge_items(self, table: Table, items: list[Item], keys: list[str]) -> list[Item]:
-        """Return the whole table: the given items, and the cached items of all other `keys`."""
+    def merge_items(
+        self, table: Table, items: list[Item], keys: list[str]
+    ) -> tuple[list[Item], list[str]]:
+        """Return the given items and the cached items of all other `keys`, and the missing keys."""
         received = {item.key: item for item in items}
         cached = self._tables[table].items
-        merged = []
+        merged, missing = [], []
         for key in keys:
             item = received.get(key) or cached.get(key)
-            if item is not None:
+            if item is None:
+                missing.append(key)
+            else:
                 merged.append(item)
-        return merged
+        return merged, missing
 
     def update_engine_status(self, address: Address, status: EngineStatus) -> list[InstanceId]:
         """Apply an agent's report of its engine; return the endpoints that it changes."""
@@ -535,6 +541,8 @@
         previously_confirmed_at: float,
     ) -> None:
         state.items[item.key] = item
+        if item.value is not None:
+            self.operator_values.record(item.value)
         self._operator_versions[item.key] = content.version
         if content.catalogue is not None:
             self.catalogue = content.catalogue
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -15,6 +15,7 @@
     "EndpointLimitRow",
     "EngineNotice",
     "EntryRow",
+    "HeldValue",
     "OperatorVersion",
     "PublishedVersion",
     "SuspicionReport",
@@ -99,21 +100,40 @@
     published: list[PublishedVersion] = []
 
 
+class HeldValue(msgspec.Struct, frozen=True, array_like=True):
+    """The digest of the value that the sender has under a key."""
+
+    key: Name
+    digest: bytes
+
+
 class TableChangesRequest(Message, frozen=True, array_like=True, tag="g-ask"):
-    """Requests the changes of a table after a revision of an era."""
+    """Requests the changes of a table after a revision of an era.
+
+    `held` tells which values the sender has, from which differences may be made; None if it reads
+    neither differences nor compressed values, as earlier builds do.
+    """
 
     table: TableName
     after: WholeNumber
     era: WholeNumber = 0
+    held: list[HeldValue] | None = None
 
 
 class TableItem(msgspec.Struct, frozen=True, array_like=True):
-    """One item of a table, unchanged from the store as it was in `era`."""
+    """One item of a table, unchanged from the store as it was in `era`.
+
+    `encoding` tells how `value` is sent (`gateway/item_values.py`): as it is, compressed, or as a
+    difference to the value with the digest `base`. `digest` is that of the decoded value.
+    """
 
     key: Name
     revision: WholeNumber
     value: bytes
     era: WholeNumber = 0
+    encoding: Literal["", "zlib", "difference"] = ""
+    digest: bytes = b""
+    base: bytes = b""
 
 
 class TableChanges(Message, frozen=True, array_like=True, tag="g-told"):
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -137,8 +137,8 @@
     apply_answer(tables, Table.ENDPOINTS, [("e-2", 5, ENDPOINT)], 5, 1.0)
     items, keys = tables.list_items(Table.ENDPOINTS, TablePosition(0, 3))
     assert [item.key for item in items] == ["e-2"] and set(keys) == {"e-1", "e-2"}
-    merged = tables.merge_items(Table.ENDPOINTS, items, ["e-1", "e-2"])
-    assert {item.key for item in merged} == {"e-1", "e-2"}
+    merged, missing = tables.merge_items(Table.ENDPOINTS, items, ["e-1", "e-2", "e-3"])
+    assert {item.key for item in merged} == {"e-1", "e-2"} and missing == ["e-3"]
 
 
 def make_engine(born, version):
