--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -301,6 +301,10 @@
             announced = TablePosition(row.era, row.revision)
             if announced == cached:
                 self._tables.confirm(table, cached, now - row.age - stream.max_transit_seconds)
+            elif announced > cached and self._is_unchanged(row, cached):
+                confirmed_at = now - row.age - stream.max_transit_seconds
+                unchanged = TableAnswer(table, (), row.revision, False, confirmed_at, row.era)
+                self._tables.apply(unchanged, now)
             elif announced > cached:
                 if announced > self._announced.get(table, (cached, stream))[0]:
                     self._announced[table] = (announced, stream)
@@ -325,6 +329,12 @@
                 unpublished_at,
             )
 
+    def _is_unchanged(self, row: TableRevision, cached: TablePosition) -> bool:
+        """Return whether a peer's table is at a later revision with the same items."""
+        if not row.content or row.era != cached.era:
+            return False
+        return row.content == self._tables.digest_content(Table(row.table))
+
     def _request_changes(self, stream: PeerStream, table: Table) -> None:
         """Request the changes of a table from a peer that has announced a newer revision.
 
@@ -517,7 +527,16 @@
             if table is Table.OPERATOR:
                 known = self._tables.get_operator_versions()
                 versions = [OperatorVersion(key, version) for key, version in known.items()]
-            rows.append(TableRevision(table.value, position.revision, age, position.era, versions))
+            rows.append(
+                TableRevision(
+                    table.value,
+                    position.revision,
+                    age,
+                    position.era,
+                    versions,
+                    self._tables.digest_content(table),
+                )
+            )
         published = []
         for wanted in self._tables.list_shared_versions(now):
             published.append(
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import hashlib
 from abc import ABC, abstractmethod
 from bisect import bisect_left
 from dataclasses import dataclass, field, replace
@@ -41,6 +42,7 @@
 MIN_LOGGED_CORRECTION_SECONDS = 0.1  # of the time of a publication; smaller ones are transit times
 # What a store lacks that came back from an older copy is written again within about 2 s.
 REWRITE_SECONDS = 3.0
+CONTENT_DIGEST_BYTES = 8
 MIN_OUTAGE_SECONDS = 1.0  # leases do not expire in a shorter outage of the store
 
 logger = get_logger("gateway.knowledge")
@@ -434,6 +436,13 @@
         items = self._tables[table].items
         return [item for item in items.values() if item.position > after], list(items)
 
+    def digest_content(self, table: Table) -> bytes:
+        """Return a digest of the keys and positions of a table's items."""
+        digest = hashlib.sha256()
+        for key, item in sorted(self._tables[table].items.items()):
+            digest.update(f"{key}\0{item.era}\0{item.revision}\0".encode())
+        return digest.digest()[:CONTENT_DIGEST_BYTES]
+
     def merge_items(
         self, table: Table, items: list[Item], keys: list[str]
     ) -> tuple[list[Item], list[str]]:
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -63,7 +63,8 @@
     """The sender's revision of a table in an era of the store; it was confirmed `age` seconds ago.
 
     `versions` lists the operator's items, which may be newer than in a store that has come back
-    from an older copy of itself.
+    from an older copy of itself. `content` is a digest of the keys and positions of all items; a
+    receiver with the same ones lacks nothing, whatever its revision.
     """
 
     table: TableName
@@ -71,6 +72,7 @@
     age: Age
     era: WholeNumber = 0
     versions: list[OperatorVersion] = []
+    content: bytes = b""
 
 
 class PublishedVersion(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -470,3 +470,29 @@
     notice = EngineNotice(address.host, address.port, 0, "m", 2, False, 0.0)
     entry.fleet.stream_received(stream, notice)
     assert entry.tables.endpoints[name].versions == {"m": version}
+
+
+@pytest.mark.parametrize("table", list(Table))
+@pytest.mark.parametrize(
+    ("revision", "era", "requests"),
+    [(4, 0, 0), (9, 0, 1), (4, 1, 1)],
+    ids=["same items", "another item", "another era"],
+)
+def test_later_revision_with_the_same_items_is_not_requested(
+    fleet, clock, table, revision, era, requests
+):
+    """A request for nothing kept another one waiting while its peer did not answer."""
+    own, other = fleet._tables, TableCache(NullDecoder())
+    own.apply(TableAnswer(table, (Item("k", 4, b"1"),), 4, True, 0.0), 0.0)
+    items = (Item("k", revision, b"1", era),)
+    other.apply(TableAnswer(table, items, 9, True, 0.0, era), 0.0)
+    stream = Stream()
+    fleet.stream_opened(stream)
+    clock.advance(3.0)
+    content = other.digest_content(table)
+    row = TableRevision(table.value, 9, 0.5, era, content=content)
+    fleet.stream_received(stream, TableRevisions([row], 0.0))
+    assert stream.count_requests() == requests
+    reached = own.get_position(table) == TablePosition(era, 9)
+    assert reached == (not requests)
+    assert own.measure_age(table, clock.seconds()) == pytest.approx(3.0 if requests else 0.5)
