Read the catalogue from the store with the two entries that it answers soonest

What callers saw: GONE, and CONFIG where a change waited behind other copies. Requests, their callers' ends and confirmations waited behind it.

Entries announce how soon the store answers them, and the two fastest read the operator's table for all, as four entries do for the endpoints' table; the others get differences from their peers. One entry of a region reads the table itself if nobody has confirmed it for 1.5 s, the others after 1.8 s. An entry that the store fails says so at once, so that another takes over. A process that starts asks its peers first, for 0.3 s.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -61,6 +61,10 @@
 # Readers confirm the table with the store every 1.5 s and gossip every 0.5 s; all entries must
 # learn of a leaving endpoint within 2 s.
 MAX_RELAYED_AGE_SECONDS = 1.8
+# In each region one entry reads the catalogue itself sooner than the others, if nobody confirms it.
+MAX_FIRST_RELAYED_AGE_SECONDS = 1.5
+# A process that starts gets a catalogue from its peers within some round trips, if they have one.
+STARTUP_PEER_SECONDS = 0.3
 # A change must be in force within 2 s, so a lost peer must be detected and redialled within that.
 PEER_TIMING = StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0)
 MILLISECONDS_PER_SECOND = 1000
@@ -287,6 +291,8 @@
             regions,
         )
         self.gateway.notify_peers = self.fleet.notify_peers
+        self._started_at = reactor.seconds()
+        self._store_seconds = inf
         self._callers = callers
         self._caller_factory = CallerFactory(self.gateway, reactor)
         self._port: Any = None
@@ -303,15 +309,32 @@
     def choose_start(self, table: Table) -> TablePosition | None:
         """Return the cached position, or None if other entries keep the table up to date.
 
-        Only the readers of the roster read the endpoint table, unless their confirmations stop
-        arriving. Every entry reads the operator table itself, so that a change is in force in time
-        even if other entries fail.
+        Only the readers of the roster read a table, unless their confirmations stop arriving. Of
+        the catalogue, whose answers are large, a process that starts first asks its peers.
         """
-        age = self.tables.measure_age(table, self.reactor.seconds())
-        confirmed_by_peers = table is Table.ENDPOINTS and age < MAX_RELAYED_AGE_SECONDS
-        if confirmed_by_peers and not self.roster.is_reader():
-            return None
-        return self.tables.get_position(table)
+        now = self.reactor.seconds()
+        age = self.tables.measure_age(table, now)
+        if table is Table.ENDPOINTS:
+            reads = self.roster.is_reader() or age >= MAX_RELAYED_AGE_SECONDS
+        elif now - self._started_at < STARTUP_PEER_SECONDS:
+            reads = False
+        else:
+            reads = self.roster.is_catalogue_reader() or age >= self._get_max_relayed_age()
+        return self.tables.get_position(table) if reads else None
+
+    def record_contact(self, reached: bool, seconds: float = inf) -> None:
+        """Announce how soon the store answers this entry, by which the readers are chosen."""
+        self._store_seconds = min(self._store_seconds, seconds)
+        store_ms = None
+        if reached and isfinite(self._store_seconds):
+            store_ms = round(self._store_seconds * MILLISECONDS_PER_SECOND, 1)
+        own = self.roster.own
+        assert own is not None
+        if own.store_ms == store_ms:
+            return
+        self.roster.own = msgspec.structs.replace(own, store_ms=store_ms)
+        logger.info("distance to the store changed", extra={"milliseconds": store_ms})
+        self.fleet.announce()
 
     def reads_store(self, table: Table) -> bool:
         """Return whether this entry is to read a table from the store now."""
@@ -323,6 +346,10 @@
             self.tables_changed()
             self.fleet.announce()
 
+    def _get_max_relayed_age(self) -> float:
+        first = self.roster.is_first_of_region()
+        return MAX_FIRST_RELAYED_AGE_SECONDS if first else MAX_RELAYED_AGE_SECONDS
+
     def tables_changed(self) -> None:
         """Apply the changed tables to routing and update readiness."""
         self.gateway.refresh()
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import inf
 from random import Random
 
 from coltsfootshift.controllers.rings import rank_by_hash
@@ -14,6 +15,9 @@
 
 SILENCE_TIMEOUT_SECONDS = 2.5  # two and a half heartbeat intervals of an entry
 READER_COUNT = 4  # one still reads if two are lost at once and the store rejects a third
+# Readers of the operator's table: the second one reads on while it is noticed that the first one
+# does not. A copy of each change of the catalogue is sent to each of them.
+CATALOGUE_READER_COUNT = 2
 READERS_KEY = "readers"
 MAX_LISTED = 64  # callers read at most this many addresses
 
@@ -82,6 +86,30 @@
             return False
         return self.own.instance in rank_by_hash(READERS_KEY, names)[:READER_COUNT]
 
+    def is_catalogue_reader(self) -> bool:
+        """Return whether this entry reads the operator's table on behalf of all entries.
+
+        The readers are those that the store answers soonest: its answers hold whole catalogues,
+        which would fill the links to other regions, while entries tell each other differences.
+        """
+        rows = [row for row in self.list_rows() if not row.leaving]
+        if self.own is None:
+            return False
+        ranks = {name: rank for rank, name in enumerate(rank_by_hash(READERS_KEY, _name(rows)))}
+        rows.sort(key=lambda row: (_get_store_ms(row), ranks[row.instance]))
+        return self.own in rows[:CATALOGUE_READER_COUNT]
+
+    def is_first_of_region(self) -> bool:
+        """Return whether this entry, of all live ones of its region, talks to other regions first.
+
+        It is true of a process that is no entry, which has no others to wait for.
+        """
+        if self.own is None:
+            return True
+        rows = [row for row in self.list_rows() if not row.leaving]
+        names = _name([row for row in rows if row.region == self.own.region])
+        return rank_by_hash(READERS_KEY, names)[:1] == [self.own.instance]
+
     def list_caller_addresses(self, domain: str, region: str, rng: Random) -> list[Address]:
         """Return the addresses for callers in a failure domain and region, nearest entries first.
 
@@ -96,5 +124,13 @@
         return [Address(row.host, row.caller_port) for row in rows[:MAX_LISTED]]
 
 
+def _name(rows: list[EntryRow]) -> list[str]:
+    return [row.instance for row in rows]
+
+
+def _get_store_ms(row: EntryRow) -> float:
+    return inf if row.store_ms is None else row.store_ms
+
+
 def _get_announced_fields(row: EntryRow) -> tuple:
-    return (row.host, row.peer_port, row.caller_port, row.ready, row.leaving)
+    return (row.host, row.peer_port, row.caller_port, row.ready, row.leaving, row.store_ms)
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -212,6 +212,10 @@
     def handle_answer(self, answer: TableAnswer) -> None:
         """Handle an answer of the store."""
 
+    @abstractmethod
+    def record_contact(self, reached: bool, seconds: float = inf) -> None:
+        """Record whether the store has answered, and how long that took if it did so at once."""
+
 
 class ItemDecoder(ABC):
     """Decodes items of the store; the methods return None for items of another kind."""
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -33,7 +33,11 @@
 
 
 class EntryRow(msgspec.Struct, frozen=True, array_like=True):
-    """State of an entry as it announces itself; `sequence` rises with each change and start."""
+    """State of an entry as it announces itself; `sequence` rises with each change and start.
+
+    `store_ms` is the shortest time in which the store has answered it, in milliseconds; None if
+    the store does not answer it, or has not yet.
+    """
 
     instance: Name
     sequence: WholeNumber
@@ -44,6 +48,7 @@
     failure_domain: str
     ready: bool
     leaving: bool
+    store_ms: Age | None = None
 
 
 class EntryList(Message, frozen=True, array_like=True, tag="g-roster"):
--- a/tests/endless_clients.py
+++ b/tests/endless_clients.py
@@ -31,6 +31,9 @@
 class _NoTables:
     """Reads the operator table only, and knows nothing of it yet."""
 
+    def record_contact(self, reached, seconds=0.0):
+        pass
+
     def choose_start(self, table):
         return TablePosition() if table is Table.OPERATOR else None
 
