Let one entry of a region request a change of the catalogue from another region

Each entry asked the first peer that announced a change, mostly of another region, so that each of four entries had a copy sent over the same link. Now the first entry of a region asks at once, the others wait for 0.3 s for one of their own region to announce it.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -55,6 +55,8 @@
 ENDPOINTS_REQUEST_TIMEOUT_SECONDS = 0.4
 # An answer of the store normally arrives within this time after the first announcement of a change.
 STORE_ANSWER_SECONDS = 0.4
+# An entry of the own region passes on what one of them has requested from another region.
+NEAR_ANSWER_SECONDS = 0.3
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
 FALLBACK_ENTRIES = 4  # further entries sent to an agent, in case all that it is connected to fail
@@ -342,7 +344,7 @@
         each would send a copy of it. Another peer is asked if the stream is lost, or if there is no
         answer in time.
         """
-        if self._expects_answer_of_store(table):
+        if self._expects_change(table, stream):
             return
         timeout = REQUEST_TIMEOUT_SECONDS
         if table is Table.ENDPOINTS:
@@ -381,13 +383,19 @@
         known = self._tables.get_operator_versions()
         return any(item.version > known.get(item.key, -1) for item in row.versions)
 
-    def _expects_answer_of_store(self, table: Table) -> bool:
-        """Return whether the store will probably send an announced change sooner than a peer would.
+    def _expects_change(self, table: Table, stream: PeerStream) -> bool:
+        """Return whether an announced change will probably come without a request to this peer.
 
-        That is so while this process reads the table itself, until it has been behind the peers for
-        `STORE_ANSWER_SECONDS` without any progress.
+        That is so while this process reads the table itself, and while another entry of its region
+        requests a catalogue from the peer's region, until it has been behind the peers for
+        `STORE_ANSWER_SECONDS` or `NEAR_ANSWER_SECONDS` without any progress.
         """
-        if not self._observer.reads_store(table):
+        patience = 0.0
+        if self._observer.reads_store(table):
+            patience = STORE_ANSWER_SECONDS
+        elif table is Table.OPERATOR and not stream.peer_is_near:
+            patience = 0.0 if self._roster.is_first_of_region() else NEAR_ANSWER_SECONDS
+        if not patience:
             return False
         now = self._context.reactor.seconds()
         cached = self._tables.get_position(table)
@@ -395,7 +403,7 @@
         if position != cached:
             since = now
         self._behind_since[table] = (cached, since)
-        return now - since < STORE_ANSWER_SECONDS
+        return now - since < patience
 
     def _list_held_values(self, table: Table) -> list[HeldValue]:
         """Return what differences may begin from; records of endpoints are too small for them."""
--- a/tests/fleet_harness.py
+++ b/tests/fleet_harness.py
@@ -31,6 +31,7 @@
 
     max_transit_seconds = 0.0
     transit_delay = 0.0
+    peer_is_near = True
 
     def __init__(self, incarnation="1", peer_id="entry-2", role=Role.ENTRY):
         self.sent = []
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -26,6 +26,7 @@
     ENDPOINTS_REQUEST_TIMEOUT_SECONDS,
     ENTRIES_PER_AGENT,
     FALLBACK_ENTRIES,
+    NEAR_ANSWER_SECONDS,
     REQUEST_TIMEOUT_SECONDS,
     STORE_ANSWER_SECONDS,
     FleetTask,
@@ -430,6 +431,36 @@
     assert entry.roster.own.store_ms == expected
 
 
+@pytest.mark.parametrize(
+    ("near_peer", "first", "waited", "requests"),
+    [
+        (True, False, 0.0, 1),
+        (False, True, 0.0, 1),
+        (False, False, 0.0, 0),
+        (False, False, NEAR_ANSWER_SECONDS, 1),
+    ],
+    ids=["from the own region", "first of its region", "not the first", "nobody near"],
+)
+def test_one_entry_of_a_region_requests_a_change_across_regions(
+    fleet, clock, near_peer, first, waited, requests
+):
+    """Each entry of a region requested a copy of each change over the same link."""
+    others = [make_row(f"other-{number}") for number in range(30)]
+    fleet._roster.merge(others, 0.0)
+    if first:
+        for name in list(fleet._roster._rows):
+            del fleet._roster._rows[name]
+    assert fleet._roster.is_first_of_region() is first
+    stream = Stream()
+    stream.peer_is_near = near_peer
+    fleet.stream_opened(stream)
+    fleet.stream_received(stream, TABLE_REVISIONS)
+    clock.advance(waited)
+    if waited:
+        fleet.stream_received(stream, TABLE_REVISIONS)
+    assert stream.count_requests() == requests
+
+
 @pytest.mark.parametrize(
     ("steps", "live"),
     [([0.5] * 12, 1), ([6.0], 2)],
