Read an answer of the store as long as its bytes arrive

A body had to be complete within 1 s.

Test: test_large_answer_on_a_narrow_link_is_read_as_long_as_it_arrives.

--- a/src/coltsfootshift/answers.py
+++ b/src/coltsfootshift/answers.py
@@ -4,7 +4,7 @@
 
 from typing import Any
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.endpoints import HostnameEndpoint
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
@@ -34,14 +34,23 @@
     return Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), pool)
 
 
-def read_body(response: Any, max_bytes: int, seconds: float, reactor: Any) -> Deferred[bytes]:
+def read_body(
+    response: Any,
+    max_bytes: int,
+    seconds: float,
+    reactor: Any,
+    idle_seconds: float | None = None,
+) -> Deferred[bytes]:
     """Return the body of a response, which has to be complete within `seconds`.
 
-    A body that is longer than `max_bytes` fails with `AnswerTooLongError`, one that takes too long
-    with `TimeoutError`; both close the connection.
+    With `idle_seconds` it also fails if no byte arrives for so long. A body that is longer than
+    `max_bytes` fails with `AnswerTooLongError`, one that takes too long with `TimeoutError`; both
+    close the connection.
     """
     body = _Body(max_bytes)
     response.deliverBody(body)
+    if idle_seconds is not None:
+        body.limit_idle_time(idle_seconds, reactor)
     return body.done.addTimeout(seconds, reactor)
 
 
@@ -52,11 +61,21 @@
         self.done: Deferred[bytes] = Deferred(lambda _: self.transport.loseConnection())
         self._max_bytes = max_bytes
         self._data = bytearray()
+        self._idle_seconds = 0.0
+        self._idle_timer: Any = None
+
+    def limit_idle_time(self, seconds: float, reactor: Any) -> None:
+        """Fail if no byte arrives for `seconds`."""
+        self._idle_seconds = seconds
+        self._idle_timer = reactor.callLater(seconds, self._fail_idle)
+        self.done.addBoth(self._stop_idle_timer)
 
     def dataReceived(self, data: bytes) -> None:
         if self.done.called:
             return
         self._data += data
+        if self._idle_timer is not None:
+            self._idle_timer.reset(self._idle_seconds)
         if len(self._data) > self._max_bytes:
             self._data.clear()
             self.done.errback(AnswerTooLongError(f"the body exceeds {self._max_bytes} bytes"))
@@ -70,6 +89,17 @@
         else:
             self.done.errback(reason)
 
+    def _fail_idle(self) -> None:
+        self._idle_timer = None
+        self.done.errback(TimeoutError(f"no byte of the body for {self._idle_seconds} s"))
+        self.transport.loseConnection()
+
+    def _stop_idle_timer(self, result: Any) -> Any:
+        timer, self._idle_timer = self._idle_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+        return result
+
 
 class _HeadLimit(ProtocolWrapper):
     """Counts the bytes that arrive between a request and the body of its response.
