Keep the second reader of the catalogue in the region of the first

Found by tests/test_gateway_held_catalogue.py: with one entry near the store and three of another region, the second reader was one of these, and the copies that the store sent it filled the only link: a change of 1,400 routes came after over 2 s at 6 and 1.5 Mbit/s.

--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -89,15 +89,17 @@
     def is_catalogue_reader(self) -> bool:
         """Return whether this entry reads the operator's table on behalf of all entries.
 
-        The readers are those that the store answers soonest: its answers hold whole catalogues,
-        which would fill the links to other regions, while entries tell each other differences.
+        The readers are those that the store answers soonest, all of one region: its answers hold
+        whole catalogues, which would fill the links to other regions, while entries tell each other
+        differences.
         """
         rows = [row for row in self.list_rows() if not row.leaving]
         if self.own is None:
             return False
         ranks = {name: rank for rank, name in enumerate(rank_by_hash(READERS_KEY, _name(rows)))}
         rows.sort(key=lambda row: (_get_store_ms(row), ranks[row.instance]))
-        return self.own in rows[:CATALOGUE_READER_COUNT]
+        near = [row for row in rows if row.region == rows[0].region]
+        return self.own in near[:CATALOGUE_READER_COUNT]
 
     def is_first_of_region(self) -> bool:
         """Return whether this entry, of all live ones of its region, talks to other regions first.
