Hold back SIGHUP until the process can handle it

The signal is now blocked from the first line of the program and delivered once the handler is set; the settings are then read again.

Test: test_settings_change_signalled_during_the_start_is_read. The interpreter's own start, before that line, and the product's own daemons are as before.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -146,6 +146,7 @@
         signal.signal(signal.SIGTERM, lambda *_: self.reactor.callFromThread(self.leave))
         signal.signal(signal.SIGINT, lambda *_: self.reactor.callFromThread(self.leave))
         signal.signal(signal.SIGHUP, lambda *_: self.reactor.callFromThread(self.reload))
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
         self.reactor.callWhenRunning(self.start)
         self.reactor.run(installSignalHandlers=False)
 
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import json
+import signal
 import socket
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 
 import pytest
 from platform_fleet import Fleet, book, is_ready
@@ -158,6 +160,23 @@
     assert fleet.programs[0].process.wait(5) == 0
 
 
+def blocks_hangups(program) -> bool:
+    status = Path(f"/proc/{program.process.pid}/status").read_text("ascii")
+    mask = next(line for line in status.splitlines() if line.startswith("SigBlk"))
+    return bool(int(mask.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+
+
+def test_settings_change_signalled_during_the_start_is_read(fleet):
+    """SIGHUP ended a process that had not set its handler yet."""
+    ports = fleet.start_entry()
+    program = fleet.programs[0]
+    wait_for(lambda: blocks_hangups(program), 5.0)
+    program.process.send_signal(signal.SIGHUP)
+    wait_for(lambda: is_ready(ports))
+    assert [row["message"] for row in program.read_lines()].count("settings reloaded") == 1
+    assert not blocks_hangups(program)
+
+
 def test_request_can_be_followed_in_the_log(fleet):
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
