--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -133,7 +133,8 @@
 class StoreStandIn(StandIn):
     """The platform's store: versioned items, paged range reads, long-polling watches.
 
-    While `down` is set, every request is answered with that HTTP status. `copy` and `restore`
+    While `down` is set, every request is answered with that HTTP status, and `delay` seconds late
+    while that is set. `copy` and `restore`
     make it come back from an older copy: revisions go back, and a new era begins.
     """
 
@@ -145,6 +146,7 @@
         self.first_event = 0
         self.down = 0
         self.calls = 0
+        self.delay = 0.0
         self.condition = threading.Condition()
         super().__init__()
 
@@ -194,6 +196,7 @@
 
     def handle(self, method, path, query, body, headers):
         self.calls += 1
+        time.sleep(self.delay)
         if self.down:
             return self.down, b"", {"Store-Era": str(self.era)}
         era, fields = self._range(query) if path == "/api/kv-range" else self._watch(query)
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -160,6 +160,21 @@
     assert fleet.programs[0].process.wait(5) == 0
 
 
+def test_distance_to_the_store_is_that_of_small_answers(fleet):
+    """The reads of a start are slow; an entry near the store would not read for the others."""
+    fleet.store.delay = 0.2
+    ports = fleet.start_entry()
+    wait_for(lambda: is_ready(ports))
+    fleet.store.delay = 0.0
+
+    def list_distances():
+        rows = fleet.programs[0].read_lines()
+        return [r["milliseconds"] for r in rows if r["message"] == "distance to the store changed"]
+
+    wait_for(lambda: min(list_distances(), default=200.0) < 200.0)
+    assert list_distances()[0] >= 200.0
+
+
 def blocks_hangups(program) -> bool:
     status = Path(f"/proc/{program.process.pid}/status").read_text("ascii")
     mask = next(line for line in status.splitlines() if line.startswith("SigBlk"))
