Compute the digest of a table and the readers once for each change

Both were computed for each announcement of a peer and each look at whether to read, some 26 times a second: with 4,700 endpoints and 430 entries that is more processor time than a node may take for control (worked out, not measured). No choice differs.

--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from dataclasses import dataclass
 from math import inf
 from random import Random
 
@@ -22,6 +23,15 @@
 MAX_LISTED = 64  # callers read at most this many addresses
 
 
+@dataclass(frozen=True, slots=True)
+class _Roles:
+    """What an entry does on behalf of others."""
+
+    reads_endpoints: bool
+    reads_catalogue: bool
+    is_first_of_region: bool
+
+
 class Roster:
     """The live entries and the time at which a row of each was last received.
 
@@ -33,6 +43,8 @@
         self.own = own
         self._rows: dict[InstanceId, EntryRow] = {}
         self._last_seen: dict[InstanceId, float] = {}
+        self._changes = 0
+        self._roles: tuple[object, _Roles] | None = None
 
     def __repr__(self) -> str:
         return f"Roster({sorted(self._rows)})"
@@ -51,6 +63,7 @@
             self._last_seen[name] = now
             if current is None or _get_announced_fields(current) != _get_announced_fields(row):
                 changed.append(row)
+        self._changes += len(changed)
         return changed
 
     def extend(self, seconds: float) -> None:
@@ -64,6 +77,7 @@
         for name in silent:
             del self._rows[name]
             del self._last_seen[name]
+        self._changes += len(silent)
         return silent
 
     def list_rows(self) -> list[EntryRow]:
@@ -81,10 +95,7 @@
         All entries derive the same `READER_COUNT` readers from the live entries, so that the load
         on the store does not grow with the number of entries.
         """
-        names = [row.instance for row in self.list_rows() if not row.leaving]
-        if self.own is None:
-            return False
-        return self.own.instance in rank_by_hash(READERS_KEY, names)[:READER_COUNT]
+        return self._find_roles().reads_endpoints
 
     def is_catalogue_reader(self) -> bool:
         """Return whether this entry reads the operator's table on behalf of all entries.
@@ -93,24 +104,38 @@
         whole catalogues, which would fill the links to other regions, while entries tell each other
         differences.
         """
-        rows = [row for row in self.list_rows() if not row.leaving]
-        if self.own is None:
-            return False
-        ranks = {name: rank for rank, name in enumerate(rank_by_hash(READERS_KEY, _name(rows)))}
-        rows.sort(key=lambda row: (_get_store_ms(row), ranks[row.instance]))
-        near = [row for row in rows if row.region == rows[0].region]
-        return self.own in near[:CATALOGUE_READER_COUNT]
+        return self._find_roles().reads_catalogue
 
     def is_first_of_region(self) -> bool:
         """Return whether this entry, of all live ones of its region, talks to other regions first.
 
         It is true of a process that is no entry, which has no others to wait for.
         """
-        if self.own is None:
-            return True
-        rows = [row for row in self.list_rows() if not row.leaving]
-        names = _name([row for row in rows if row.region == self.own.region])
-        return rank_by_hash(READERS_KEY, names)[:1] == [self.own.instance]
+        return self._find_roles().is_first_of_region
+
+    def _find_roles(self) -> _Roles:
+        """Return what this entry does for others, computed once for each change of the rows."""
+        own = self.own
+        if own is None:
+            return _Roles(reads_endpoints=False, reads_catalogue=False, is_first_of_region=True)
+        state = (self._changes, _get_announced_fields(own))
+        if self._roles is not None and self._roles[0] == state:
+            return self._roles[1]
+        roles = self._choose_roles(own)
+        self._roles = (state, roles)
+        return roles
+
+    def _choose_roles(self, own: EntryRow) -> _Roles:
+        rows = {row.instance: row for row in self.list_rows() if not row.leaving}
+        ranked = [rows[name] for name in rank_by_hash(READERS_KEY, list(rows))]
+        nearest = sorted(ranked, key=_get_store_ms)
+        near = [row for row in nearest if row.region == nearest[0].region]
+        first = [row for row in ranked if row.region == own.region][:1]
+        return _Roles(
+            reads_endpoints=own in ranked[:READER_COUNT],
+            reads_catalogue=own in near[:CATALOGUE_READER_COUNT],
+            is_first_of_region=own in first,
+        )
 
     def list_caller_addresses(self, domain: str, region: str, rng: Random) -> list[Address]:
         """Return the addresses for callers in a failure domain and region, nearest entries first.
@@ -126,10 +151,6 @@
         return [Address(row.host, row.caller_port) for row in rows[:MAX_LISTED]]
 
 
-def _name(rows: list[EntryRow]) -> list[str]:
-    return [row.instance for row in rows]
-
-
 def _get_store_ms(row: EntryRow) -> float:
     return inf if row.store_ms is None else row.store_ms
 
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -257,6 +257,16 @@
     items: dict[str, Item] = field(default_factory=dict)
     retained: set[str] = field(default_factory=set)
     complete_from: float = float("-inf")
+    content: bytes | None = None
+
+    def digest_content(self) -> bytes:
+        """Return a digest of the keys and positions of the items, computed once for each change."""
+        if self.content is None:
+            digest = hashlib.sha256()
+            for key, item in sorted(self.items.items()):
+                digest.update(f"{key}\0{item.era}\0{item.revision}\0".encode())
+            self.content = digest.digest()[:CONTENT_DIGEST_BYTES]
+        return self.content
 
     def record_contact(self, now: float) -> None:
         """Record whether an answer of the store is the first after an outage."""
@@ -351,6 +361,8 @@
         self.record_running(now)
         state.record_contact(now)
         state.position = answer.position
+        if answer.items or answer.complete:
+            state.content = None
         changed = False
         for item in self._list_changes(answer, state):
             if answer.table is Table.OPERATOR:
@@ -442,10 +454,7 @@
 
     def digest_content(self, table: Table) -> bytes:
         """Return a digest of the keys and positions of a table's items."""
-        digest = hashlib.sha256()
-        for key, item in sorted(self._tables[table].items.items()):
-            digest.update(f"{key}\0{item.era}\0{item.revision}\0".encode())
-        return digest.digest()[:CONTENT_DIGEST_BYTES]
+        return self._tables[table].digest_content()
 
     def merge_items(
         self, table: Table, items: list[Item], keys: list[str]
@@ -554,6 +563,7 @@
         previously_confirmed_at: float,
     ) -> None:
         state.items[item.key] = item
+        state.content = None
         if item.value is not None:
             self.operator_values.record(item.value)
         self._operator_versions[item.key] = content.version
--- a/tests/test_gateway_knowledge.py
+++ b/tests/test_gateway_knowledge.py
@@ -195,3 +195,17 @@
         tables.confirm(Table.ENDPOINTS, TablePosition(0, 3), 9.9)
     apply_answer(tables, Table.ENDPOINTS, [("e-1", 6, None)], 6, 10.0)
     assert "e-1" in tables.endpoints
+
+
+@pytest.mark.parametrize("table", list(Table))
+def test_digest_of_the_content_follows_each_change(tables, table):
+    """It is kept between changes, and a peer takes it for the state of the table."""
+    seen = [tables.digest_content(table)]
+    value = ENDPOINT if table is Table.ENDPOINTS else b"9"
+    for revision, complete in ((20, False), (21, False), (22, True)):
+        apply_answer(tables, table, [("catalogue", revision, value)], revision, 1.0, complete)
+        seen.append(tables.digest_content(table))
+        value = ENDPOINT if table is Table.ENDPOINTS else b"%d" % revision
+    apply_answer(tables, table, [], 30, 1.0)
+    assert tables.digest_content(table) == seen[-1]
+    assert len(set(seen)) == len(seen)
