Apply changes of a peer that are behind as such, complete or not

A key of a peer's answer that has been removed here since counted as missing, and the whole table was requested; the answer is older than the table and is ignored.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -489,7 +489,8 @@
         now = self._context.reactor.seconds()
         received = self._decode_items(message.items, stream.peer_id)
         items, missing = self._tables.merge_items(table, received, message.keys)
-        if missing or len(received) < len(message.items):
+        is_newer = TablePosition(message.era, message.revision) > self._tables.get_position(table)
+        if is_newer and (missing or len(received) < len(message.items)):
             # The position must not go past an item that is missing here.
             row = {"table": table.value, "peer": stream.peer_id, "missing": missing[:9]}
             logger.warning("incomplete changes of a peer ignored", extra=row)
