Count the start of a process from its first line

Cause: an entry that finds a version at its start holds itself to its limit from contact_within after its own start, and took that to be 1 s before its event loop. On the busy machine the imports took 3.5 and 3.7 s (from the times of the faults and the line started). The program now notes the time in its first line; the start is never taken to be later than before.

Test: test_process_that_starts_slowly_counts_its_start_from_its_first_line.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -58,6 +58,7 @@
 PLACEHOLDER_SECRET = "the platform gives its processes no secret"
 DRAIN_CHECK_INTERVAL_SECONDS = 0.1
 STARTUP_SECONDS = 1.0  # interpreter start and imports take 0.5 s on a shared machine
+INTERPRETER_SECONDS = 0.3  # from the start of the process to the first line of the program
 # Readers confirm the table with the store every 1.5 s and gossip every 0.5 s; all entries must
 # learn of a leaving endpoint within 2 s.
 MAX_RELAYED_AGE_SECONDS = 1.8
@@ -85,7 +86,8 @@
     """The identity, location and addresses of a process.
 
     `peers` is the address on which it listens for peers, and `stop_within` the time in seconds
-    from the stop signal until the platform kills the process.
+    from the stop signal until the platform kills the process. `began_at` is when the program
+    began, in seconds of the reactor's clock; infinite if unknown.
     """
 
     instance: InstanceId
@@ -95,6 +97,14 @@
     seeds: tuple[Address, ...]
     stop_within: float
     metrics_port: int
+    began_at: float = inf
+
+    def find_start(self, now: float) -> float:
+        """Return when the platform has started the process, or a little before.
+
+        The imports of a slow or busy machine take seconds.
+        """
+        return min(now - STARTUP_SECONDS, self.began_at - INTERPRETER_SECONDS)
 
 
 class GatewayNode(FleetObserver, ABC):
@@ -113,7 +123,7 @@
         self.reactor = reactor
         self.config = config
         self.metrics = Metrics()
-        self.tables = TableCache(decoder, reactor.seconds() - STARTUP_SECONDS)
+        self.tables = TableCache(decoder, config.find_start(reactor.seconds()))
         self.roster = roster
         self.beliefs = SharedBeliefs(self.choose_judging_start())
         self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -511,6 +511,17 @@
     return GatewayEntry(clock, config, NullDecoder(), PlatformDialect(), address, BOUNDS)
 
 
+@pytest.mark.parametrize(("took", "counted"), [(0.2, 1.0), (0.7, 1.0), (3.5, 3.8), (None, 1.0)])
+def test_process_that_starts_slowly_counts_its_start_from_its_first_line(took, counted):
+    """A start of 3.5 s on a busy machine counted as one of 1 s, and a version's limit too late."""
+    address = Address("10.0.0.1", 1)
+    began_at = inf if took is None else 50.0 - took
+    config = NodeConfig(
+        InstanceId("entry-1"), address, "north", FailureDomain("a"), (), 8.0, 3, began_at
+    )
+    assert config.find_start(50.0) == pytest.approx(50.0 - counted)
+
+
 def take_beliefs(stream):
     """Return the suspicions and limits that were sent on a stream, as they cross the network."""
     kinds = (SuspicionReport, EndpointLimitReport)
