Let a start wait for peers only if one of them has a catalogue

Each start waited 0.3 s for its peers before it read the catalogue from the store, also when all entries had restarted and none had one. It now waits 0.05 s, in which peers are heard of, and up to 0.3 s if one has announced a catalogue.

Test: test_entry_that_starts_asks_its_peers_for_the_catalogue_first.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -163,6 +163,10 @@
             streams[-1].send(EntryList([self._roster.own, *(fallbacks if is_agent else ())]))
             streams[-1].send(report)
 
+    def knows_of_changes(self, table: Table) -> bool:
+        """Return whether a peer has announced changes of a table that have not arrived yet."""
+        return table in self._announced
+
     def send_engine_status(self, notice: EngineNotice) -> None:
         """Send the status of the engine to the connected entries."""
         self._broadcast(notice)
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -64,7 +64,9 @@
 MAX_RELAYED_AGE_SECONDS = 1.8
 # In each region one entry reads the catalogue itself sooner than the others, if nobody confirms it.
 MAX_FIRST_RELAYED_AGE_SECONDS = 1.5
-# A process that starts gets a catalogue from its peers within some round trips, if they have one.
+# A process that starts hears from its peers within some round trips whether they have a catalogue,
+# and has it from them soon after.
+STARTUP_CONTACT_SECONDS = 0.05
 STARTUP_PEER_SECONDS = 0.3
 # A change must be in force within 2 s, so a lost peer must be detected and redialled within that.
 PEER_TIMING = StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0)
@@ -327,7 +329,7 @@
         age = self.tables.measure_age(table, now)
         if table is Table.ENDPOINTS:
             reads = self.roster.is_reader() or age >= MAX_RELAYED_AGE_SECONDS
-        elif now - self._started_at < STARTUP_PEER_SECONDS:
+        elif self._awaits_first_catalogue(now):
             reads = False
         else:
             reads = self.roster.is_catalogue_reader() or age >= self._get_max_relayed_age()
@@ -357,6 +359,13 @@
             self.tables_changed()
             self.fleet.announce()
 
+    def _awaits_first_catalogue(self, now: float) -> bool:
+        """Return whether a peer may send the first catalogue sooner than the store would."""
+        elapsed = now - self._started_at
+        if elapsed < STARTUP_CONTACT_SECONDS:
+            return True
+        return elapsed < STARTUP_PEER_SECONDS and self.fleet.knows_of_changes(Table.OPERATOR)
+
     def _get_max_relayed_age(self) -> float:
         first = self.roster.is_first_of_region()
         return MAX_FIRST_RELAYED_AGE_SECONDS if first else MAX_RELAYED_AGE_SECONDS
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -36,6 +36,7 @@
     MAX_FIRST_RELAYED_AGE_SECONDS,
     MAX_RELAYED_AGE_SECONDS,
     PEER_TIMING,
+    STARTUP_CONTACT_SECONDS,
     STARTUP_PEER_SECONDS,
     GatewayEntry,
     NodeConfig,
@@ -405,12 +406,23 @@
     assert asked == {True: [first], False: [others] * 3}
 
 
-def test_entry_that_starts_asks_its_peers_for_the_catalogue_first():
+@pytest.mark.parametrize(
+    ("told", "waits"),
+    [(True, STARTUP_PEER_SECONDS), (False, STARTUP_CONTACT_SECONDS)],
+    ids=["a peer has one", "nobody has one"],
+)
+def test_entry_that_starts_asks_its_peers_for_the_catalogue_first(told, waits):
+    """When all entries have restarted, none waits for the others."""
     clock = MemoryReactorClock()
     entry = make_entry(clock, "entry-0")
-    assert entry.choose_start(Table.OPERATOR) is None
+    if told:
+        stream = Stream()
+        entry.fleet.stream_opened(stream)
+        entry.fleet.stream_received(stream, TABLE_REVISIONS)
     assert entry.choose_start(Table.ENDPOINTS) is not None
-    clock.advance(STARTUP_PEER_SECONDS)
+    clock.advance(waits - 0.01)
+    assert entry.choose_start(Table.OPERATOR) is None
+    clock.advance(0.02)
     assert entry.choose_start(Table.OPERATOR) is not None
 
 
