--- a/tests/catalogue_simulation.py
+++ b/tests/catalogue_simulation.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from functools import partial
 from random import Random
 
 from coltsfootshift_platform.dialect import PlatformDialect
@@ -50,7 +51,7 @@
 
     def send(self, message):
         frame = encode_message(message)
-        deliver = lambda: self._deliver(frame)  # noqa: E731
+        deliver = partial(self._deliver, frame)
         self._simulation.transfer(self.own, self.peer, len(frame), deliver)
 
     def set_needed(self, needed):
@@ -155,7 +156,7 @@
     def _answer(self, node, number, position, started, until):
         """Answer at once if there is a change or another era, else at the end of the wait."""
         clock = self.simulation.clock
-        again = lambda: self._answer(node, number, position, started, until)  # noqa: E731
+        again = partial(self._answer, node, number, position, started, until)
         if number != node.polls:
             return
         if clock.seconds() < max(node.cut_until, self.down_until):
@@ -187,7 +188,7 @@
                 node.entry.handle_answer(answer)
                 node.poll(number)
 
-        send = lambda: self.simulation.transfer(None, node, size, deliver)  # noqa: E731
+        send = partial(self.simulation.transfer, None, node, size, deliver)
         self.simulation.call_later(STORE_SECONDS, send)
 
 
--- a/tests/test_platform_odd_values.py
+++ b/tests/test_platform_odd_values.py
@@ -25,7 +25,6 @@
 from raw_peer import RawPeer
 
 MAX_CHANGE_SECONDS = 2.0
-REPORT_SECONDS = 0.6  # an agent reads its engine's report each 0.25 s
 
 versions = itertools.count(10)
 rollouts = itertools.count(2)
@@ -192,7 +191,7 @@
     for body in REPORTS.values():
         failures = count_lines(fleet, 1, "rollout step failed")
         fleet.engine.report = body
-        wait_for(lambda: count_lines(fleet, 1, "rollout step failed") > failures)  # noqa: B023
+        wait_for(lambda seen=failures: count_lines(fleet, 1, "rollout step failed") > seen)
     fleet.engine.report = None
     version = next(rollouts)
     fleet.store.put(f"op/version/{MODEL}", {"model": MODEL, "version": version})
