Load only what a role uses at the start of a platform process

Cause: both roles imported each other's modules, the command line's parser (defopt, docutils), klein with werkzeug, and TLS with cryptography, none of which a running process uses. The node classes move to entry_node.py and agent_node.py unchanged.

--- a/tests/catalogue_simulation.py
+++ b/tests/catalogue_simulation.py
@@ -14,7 +14,8 @@
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.codec import decode_message, encode_message
-from coltsfootshift.gateway.nodes import GatewayEntry, NodeConfig
+from coltsfootshift.gateway.entry_node import GatewayEntry
+from coltsfootshift.gateway.nodes import NodeConfig
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer
 from coltsfootshift.ids import FailureDomain, InstanceId, Role
 from coltsfootshift.settings import Address
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -22,6 +22,13 @@
     Suspect,
 )
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS
+from coltsfootshift.gateway.entry_node import (
+    MAX_FIRST_RELAYED_AGE_SECONDS,
+    MAX_RELAYED_AGE_SECONDS,
+    STARTUP_CONTACT_SECONDS,
+    STARTUP_PEER_SECONDS,
+    GatewayEntry,
+)
 from coltsfootshift.gateway.fleet import (
     ENDPOINTS_REQUEST_TIMEOUT_SECONDS,
     ENTRIES_PER_AGENT,
@@ -32,15 +39,7 @@
     FleetTask,
 )
 from coltsfootshift.gateway.model import EndpointRecord
-from coltsfootshift.gateway.nodes import (
-    MAX_FIRST_RELAYED_AGE_SECONDS,
-    MAX_RELAYED_AGE_SECONDS,
-    PEER_TIMING,
-    STARTUP_CONTACT_SECONDS,
-    STARTUP_PEER_SECONDS,
-    GatewayEntry,
-    NodeConfig,
-)
+from coltsfootshift.gateway.nodes import PEER_TIMING, NodeConfig
 from coltsfootshift.gateway.roster import READER_COUNT, SILENCE_TIMEOUT_SECONDS, Roster
 from coltsfootshift.gateway.table_cache import (
     Item,
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -18,7 +18,8 @@
     make_response,
 )
 
-from coltsfootshift.gateway.nodes import GatewayEntry, NodeConfig
+from coltsfootshift.gateway.entry_node import GatewayEntry
+from coltsfootshift.gateway.nodes import NodeConfig
 from coltsfootshift.ids import FailureDomain, InstanceId
 from coltsfootshift.settings import Address
 
