Pull each chunk from the origin in turn, and answer first who loads first

Cause: (a) all agents pulled two chunks each from the origin at once, so that on the large deployment (45 agents, 15 Mbit/s) none was complete for 2.4 s; (b) a chunk crossed into a region through one partner of the instance that fetches it, which got it only when it had spread in the region before; (c) queues of ten uploads left links idle while others had many waiting; (d) all agents had equal shares of every sender and were complete together. Change: pulls are due in the order of the chunks at the origin's rate; the instances of rank 0 in all regions are partners; queues of three uploads, the others are refused and ask elsewhere; requests of the first wave and those into another region go first; engines load in the same order. Timers of parts no longer add up their lateness. Indexes in test_asks follow from the ranks, which changed.

--- a/src/coltsfootshift/agent/weights.py
+++ b/src/coltsfootshift/agent/weights.py
@@ -52,6 +52,7 @@
     WeightsWithdrawn,
     unpack_bitfield,
 )
+from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.controllers.waves import ServingState
 from coltsfootshift.controllers.weights import WeightsController
 from coltsfootshift.engines.base import EndpointStatus, ModelEngine
@@ -322,13 +323,14 @@
             locations[InstanceId(name)] = Location(row.region, row.failure_domain)
         peers = choose_neighbours(self._own, locations, self._service)
         self._dialer.set_targets({InstanceId(name): records[name].peers for name in peers})
-        self._handle_event(PullersChanged(locations))
+        self._handle_event(PullersChanged(locations, self._service))
         self._update_replicas()
 
     def _update_replicas(self) -> None:
         service = self._mesh.view.find_service(self._service)
         rows = self._mesh.membership.list_agents(self._service)
-        names = tuple(InstanceId(row.instance) for row in rows if row.state == "live")
+        live = [row.instance for row in rows if row.state == "live"]
+        names = tuple(InstanceId(name) for name in rank_by_hash(self._service, live))
         self._loader.handle_event(ReplicasChanged(names, service.min_live if service else 0))
 
     def _handle_serving_notice(self, message: ServingNotice) -> None:
--- a/src/coltsfootshift/controllers/chunk_ranks.py
+++ b/src/coltsfootshift/controllers/chunk_ranks.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import math
+from collections.abc import Collection
 
 from coltsfootshift.controllers.chunks import Location
 from coltsfootshift.controllers.rings import rank_by_hash
@@ -23,8 +24,13 @@
     If that region is not known, each region comes first in proportion to its number of instances,
     so that all instances pull about the same number of chunks from the origin. Every other region
     fetches the chunk from its predecessor, so that a chunk enters each region once and the load
-    is spread over the links between regions. Within a region, instances are ranked by rendezvous
-    hashing: rank 0 fetches the chunk, and the next rank takes over if it fails.
+    is spread over the links between regions.
+
+    Within a region the instance of rank 0 fetches the chunk, and the next rank takes over if it
+    fails. Rank 0 goes to the instances in turn, in the order in which `choose_neighbours` matches
+    partners for the same `key`. The instances of rank 0 in all regions are therefore partners, and
+    a chunk passes from region to region without having to spread within each of them first. The
+    further ranks, and rank 0 in the place of a lost instance, follow by rendezvous hashing.
     """
 
     def __init__(
@@ -34,6 +40,8 @@
         digest: Digest,
         chunks: int,
         store_region: str = "",
+        key: str = "",
+        lost: Collection[InstanceId] = (),
     ) -> None:
         self._sizes: dict[str, int] = {}
         for location in locations.values():
@@ -42,15 +50,16 @@
         self._store_region = store_region if store_region in self._regions else ""
         self._digest = digest
         region = locations[own].region if own in locations else ""
-        names = [name for name, location in locations.items() if location.region == region]
-        self.ranks, self.leaders = _rank_chunks(own, names, digest, chunks)
+        order = _order_by_region(locations, key).get(region, [])
+        turns = max(self._sizes.values(), default=1)
+        self.ranks, self.leaders = _rank_chunks(own, order, turns, digest, chunks, lost)
         self.source_regions: list[str] = []
         self.region_positions: list[int] = []
         for index in range(chunks):
-            order = self._order_regions(index)
-            position = order.index(region) if region in order else 0
+            regions = self._order_regions(index)
+            position = regions.index(region) if region in regions else 0
             self.region_positions.append(position)
-            self.source_regions.append(order[position - 1] if position else "")
+            self.source_regions.append(regions[position - 1] if position else "")
 
     def _order_regions(self, index: int) -> list[str]:
         if len(self._regions) < 2:
@@ -68,20 +77,45 @@
 
 
 def _rank_chunks(
-    own: InstanceId, names: list[InstanceId], digest: Digest, chunks: int
+    own: InstanceId,
+    order: list[InstanceId],
+    turns: int,
+    digest: Digest,
+    chunks: int,
+    lost: Collection[InstanceId],
 ) -> tuple[list[int], list[InstanceId]]:
-    """Return the rank of `own` and the instance of rank 0 for each chunk index."""
-    seeds = {name: _hash_name(name) for name in names}
+    """Return the rank of `own` and the instance of rank 0 for each chunk index.
+
+    `order` lists the instances of the region, and `turns` is the size of the largest region.
+    """
+    seeds = {name: _hash_name(name) for name in order if name not in lost}
+    first_turn = _hash_name(digest) % turns
     ranks, leaders = [], []
     for index in range(chunks):
         salt = _hash_name(f"{digest}/{index}")
         scores = {name: _mix_hash(seed, salt) for name, seed in seeds.items()}
+        if order:
+            in_turn = order[(first_turn + index) % turns % len(order)]
+            if in_turn in scores:
+                scores[in_turn] = MASK_64 + 1
         own_score = scores.get(own, -1)
         ranks.append(sum(1 for score in scores.values() if score > own_score))
         leaders.append(max(scores, key=scores.__getitem__, default=own))
     return ranks, leaders
 
 
+def _order_by_region(
+    locations: dict[InstanceId, Location], key: str
+) -> dict[str, list[InstanceId]]:
+    regions: dict[str, list[str]] = {}
+    for name, location in locations.items():
+        regions.setdefault(location.region, []).append(name)
+    orders = {}
+    for region, names in regions.items():
+        orders[region] = [InstanceId(name) for name in rank_by_hash(key, names)]
+    return orders
+
+
 def choose_neighbours(
     own: InstanceId, locations: dict[InstanceId, Location], key: str
 ) -> list[str]:
@@ -100,11 +134,9 @@
     """
     if own not in locations:
         return []
-    regions: dict[str, list[str]] = {}
-    for name, location in locations.items():
-        regions.setdefault(location.region, []).append(name)
-    rings = _build_rings(regions[locations[own].region], key)
-    orders = {region: rank_by_hash(key, names) for region, names in regions.items()}
+    orders = _order_by_region(locations, key)
+    names: list[str] = [*orders[locations[own].region]]
+    rings = _build_rings(names, key)
     peers = []
     for peer in _list_candidates(own, locations, rings, orders):
         mutual = own in _list_candidates(peer, locations, rings, orders)
@@ -121,17 +153,17 @@
     own: str,
     locations: dict[InstanceId, Location],
     rings: list[list[str]],
-    orders: dict[str, list[str]],
+    orders: dict[str, list[InstanceId]],
 ) -> list[str]:
     """Return the successors of an instance on its rings, then its partners in other regions."""
-    chosen = []
+    chosen: list[str] = []
     for ring in rings:
         if own in ring:
             successor = ring[(ring.index(own) + 1) % len(ring)]
             if successor != own:
                 chosen.append(successor)
     region = locations[InstanceId(own)].region
-    position = orders[region].index(own)
+    position = orders[region].index(InstanceId(own))
     for other in sorted(orders):
         if other != region:
             chosen.append(orders[other][position % len(orders[other])])
--- a/src/coltsfootshift/controllers/chunks.py
+++ b/src/coltsfootshift/controllers/chunks.py
@@ -47,12 +47,16 @@
 
 @dataclass(frozen=True, slots=True)
 class WeightsWanted(Event):
-    """A version is wanted: `chunks` chunks of `chunk_bytes` bytes; those in `held` are staged."""
+    """A version is wanted: `chunks` chunks of `chunk_bytes` bytes; those in `held` are staged.
+
+    `age` is how long ago the transfer of the version could begin anywhere, in seconds.
+    """
 
     digest: Digest
     chunks: int
     chunk_bytes: int = 0
     held: frozenset[int] = frozenset()
+    age: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,18 +69,26 @@
     """The limits of the rollout changed.
 
     `planned_copies` is the number of copies to pull from the origin. `bytes_per_second` limits
-    uploads and downloads separately; None means no limit.
+    uploads and downloads separately, and `origin_bytes_per_second` is what the origin sends to all
+    instances together; None means no limit.
     """
 
     planned_copies: int
     bytes_per_second: float | None
+    origin_bytes_per_second: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class PullersChanged(Event):
-    """The set of instances that need the version changed; it includes this instance."""
+    """The set of instances that need the version changed; it includes this instance.
+
+    `key` is the one with which neighbours are chosen. Requests of the instances in `first` are
+    answered before those of the others.
+    """
 
     locations: dict[InstanceId, Location]
+    key: str = ""
+    first: frozenset[InstanceId] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/coltsfootshift/controllers/pulls.py
+++ b/src/coltsfootshift/controllers/pulls.py
@@ -39,10 +39,14 @@
         self._lost: set[InstanceId] = set()
         self._ranks = ChunkRanks(own, {}, Digest(""), 0)
         self._planned_copies = 1
-        self._planned_pulls: list[int] = []
-
-    def begin(self, availability: ChunkAvailability, now: float) -> None:
-        """Reset the schedule for a new version."""
+        self._planned_pulls: list[tuple[float, int]] = []
+        self._key = ""
+        self._began_at = 0.0
+        self._origin_chunk_seconds = 0.0
+
+    def begin(self, availability: ChunkAvailability, now: float, age: float = 0.0) -> None:
+        """Reset the schedule for a version whose transfer could begin `age` seconds ago."""
+        self._began_at = now - age
         self.progress_at = now
         self.stored_at = now
         self.failed_at = float("-inf")
@@ -50,22 +54,27 @@
         self._compute_ranks(availability)
 
     def set_locations(
-        self, locations: dict[InstanceId, Location], availability: ChunkAvailability
+        self, locations: dict[InstanceId, Location], availability: ChunkAvailability, key: str = ""
     ) -> bool:
         """Set the instances that need the version; return whether the ranks were recomputed."""
-        if locations == self._locations:
+        if locations == self._locations and key == self._key:
             return False
         self._locations = dict(locations)
+        self._key = key
         if availability.complete:
             return False
         self._compute_ranks(availability)
         return True
 
-    def set_limits(self, planned_copies: int, chunk_seconds: float) -> None:
-        """Set the number of copies to pull from the origin and the transfer time of a chunk.
+    def set_limits(
+        self, planned_copies: int, chunk_seconds: float, origin_chunk_seconds: float = 0.0
+    ) -> None:
+        """Set the number of copies to pull from the origin and the transfer times of a chunk.
 
-        A longer transfer time lengthens the takeover timeout.
+        `chunk_seconds` is that over this instance's link; a longer one lengthens the takeover
+        timeout. The origin sends one chunk every `origin_chunk_seconds` to all instances together.
         """
+        self._origin_chunk_seconds = origin_chunk_seconds
         self._planned_copies = max(1, planned_copies)
         self.takeover_seconds = max(MIN_TAKEOVER_SECONDS, TAKEOVER_CHUNKS * chunk_seconds)
         self._list_planned_pulls()
@@ -84,9 +93,9 @@
     def move_to_end(self, index: int, now: float) -> None:
         """Move a failed pull to the end of the schedule."""
         self.failed_at = now
-        if index in self._planned_pulls:
-            self._planned_pulls.remove(index)
-            self._planned_pulls.append(index)
+        for row in [row for row in self._planned_pulls if row[1] == index]:
+            self._planned_pulls.remove(row)
+            self._planned_pulls.append(row)
 
     def detect_lost(self, availability: ChunkAvailability, pulling: bool, now: float) -> None:
         """On timeout, consider the rank 0 instances of all missing chunks lost if they are few."""
@@ -115,10 +124,12 @@
         return max(1, min(limit, others // 2))
 
     def list_planned(
-        self, availability: ChunkAvailability, requested: Container[int]
+        self, availability: ChunkAvailability, requested: Container[int], now: float
     ) -> Iterator[int]:
-        """Yield the chunks that this instance is scheduled to pull from the origin."""
-        for index in self._planned_pulls:
+        """Yield the chunks that this instance is to pull from the origin by now."""
+        for due_after, index in self._planned_pulls:
+            if now < self._began_at + due_after:
+                continue
             if index in availability.held or index in requested:
                 continue
             if self._ranks.ranks[index] == 0:
@@ -168,18 +179,27 @@
         return since_progress >= (rank + 1) * self.takeover_seconds
 
     def _compute_ranks(self, availability: ChunkAvailability) -> None:
-        locations = {
-            name: location for name, location in self._locations.items() if name not in self._lost
-        }
         self._ranks = ChunkRanks(
-            self._own, locations, availability.digest, availability.chunks, self._store_region
+            self._own,
+            self._locations,
+            availability.digest,
+            availability.chunks,
+            self._store_region,
+            self._key,
+            self._lost,
         )
         self._list_planned_pulls()
 
     def _list_planned_pulls(self) -> None:
-        """List the chunks to pull without waiting, within the planned copies, by ascending rank."""
+        """List the pulls within the planned copies, and after how many seconds each is due.
+
+        All instances pull in the order of the chunks, as fast as the origin can send them. If all
+        pulled at once, the origin would divide its bandwidth among all chunks, and none would be
+        complete, and could be passed on, until nearly all are.
+        """
         pulls = []
         for index, rank in enumerate(self._ranks.ranks):
             if self._ranks.region_positions[index] == 0 and rank < self._planned_copies:
-                pulls.append((rank, index))
-        self._planned_pulls = [index for _, index in sorted(pulls)]
+                earlier = rank * len(self._ranks.ranks) + index
+                pulls.append((earlier * self._origin_chunk_seconds, rank, index))
+        self._planned_pulls = [(due_after, index) for due_after, _, index in sorted(pulls)]
--- a/src/coltsfootshift/controllers/weights.py
+++ b/src/coltsfootshift/controllers/weights.py
@@ -40,11 +40,11 @@
 
 ORIGIN_RETRY_SECONDS = 0.5
 MAX_ORIGIN_PULLS = 2
-MAX_REQUESTS_PER_NEIGHBOUR = 2
+MAX_REQUESTS_PER_NEIGHBOUR = 1  # requests to many neighbours find those whose links are idle
 MAX_REQUESTS_IN_FLIGHT = 10
 MIN_REQUEST_TIMEOUT_SECONDS = 4.0
 REQUEST_TIMEOUT_CHUNKS = 40
-REFUSAL_BACKOFF_SECONDS = 0.2
+REFUSAL_BACKOFF_SECONDS = 0.1
 TIMEOUT_BACKOFF_SECONDS = 5.0
 MAX_BACKLOG_CHUNKS = 6
 PAUSE_THRESHOLD_SECONDS = 2.0
@@ -84,6 +84,8 @@
         self._neighbours: dict[InstanceId, Neighbour] = {}
         self._pull_plan = PullPlan(own, own_location.region, store_region)
         self._planned_copies = 1
+        self._origin_rate: float | None = None
+        self._urgent: frozenset[InstanceId] = frozenset()
         self._downloads = Pacer()
         self._upload_queue = UploadQueue()
         self._next_pull_at = 0.0
@@ -122,7 +124,7 @@
         if isinstance(event, LimitsChanged):
             return self._set_limits(event, now)
         if isinstance(event, PullersChanged):
-            return self._set_locations(event.locations, now)
+            return self._set_pullers(event, now)
         if isinstance(event, NeighbourOpened):
             return self._add_neighbour(event)
         if isinstance(event, NeighbourClosed):
@@ -136,7 +138,7 @@
         if isinstance(event, ChunkFailed):
             return self._record_failure(event, now)
         if isinstance(event, ChunkSent):
-            return self._end_upload(event.peer)
+            return [*self._upload_queue.end_upload(event.peer, self._neighbours, now)]
         if isinstance(event, WeightsTick):
             return self._tick(now)
         raise TypeError(f"unexpected event {event!r}")
@@ -153,8 +155,8 @@
             neighbour.requests_in_flight = 0
             if neighbour.digest == event.digest:
                 self._availability.add_holder(peer, neighbour.held)
-        self._pull_plan.begin(self._availability, now)
-        self._pull_plan.set_limits(self._planned_copies, self._compute_chunk_seconds())
+        self._pull_plan.begin(self._availability, now, event.age)
+        self._apply_limits()
         if not event.digest:
             return []
         actions: list[WeightsAction] = [self._make_bitfield(peer) for peer in self._neighbours]
@@ -162,20 +164,26 @@
 
     def _set_limits(self, event: LimitsChanged, now: float) -> list[WeightsAction]:
         self._planned_copies = event.planned_copies
+        self._origin_rate = event.origin_bytes_per_second
         self._downloads.bytes_per_second = event.bytes_per_second
         self._upload_queue.pacer.bytes_per_second = event.bytes_per_second
-        self._pull_plan.set_limits(event.planned_copies, self._compute_chunk_seconds())
+        self._apply_limits()
         return self._plan(now)
 
+    def _apply_limits(self) -> None:
+        origin_seconds = self._chunk_bytes / self._origin_rate if self._origin_rate else 0.0
+        self._pull_plan.set_limits(
+            self._planned_copies, self._compute_chunk_seconds(), origin_seconds
+        )
+
     def _compute_chunk_seconds(self) -> float:
         """Return the transfer time of a chunk on the link in seconds, 0 without a rate limit."""
         rate = self._downloads.bytes_per_second
         return self._chunk_bytes / rate if rate else 0.0
 
-    def _set_locations(
-        self, locations: dict[InstanceId, Location], now: float
-    ) -> list[WeightsAction]:
-        if not self._pull_plan.set_locations(locations, self._availability):
+    def _set_pullers(self, event: PullersChanged, now: float) -> list[WeightsAction]:
+        self._urgent = event.first
+        if not self._pull_plan.set_locations(event.locations, self._availability, event.key):
             return []
         return self._plan(now)
 
@@ -196,6 +204,7 @@
 
     def _remove_neighbour(self, peer: InstanceId, now: float) -> list[WeightsAction]:
         neighbour = self._neighbours.pop(peer, None)
+        self._upload_queue.remove_neighbour(peer)
         if neighbour is not None and neighbour.digest == self.digest:
             self._availability.remove_holder(peer, neighbour.held)
         for index, request in list(self._pending.items()):
@@ -228,13 +237,13 @@
         if event.peer not in self._neighbours:
             return []
         held = event.digest == self.digest and event.index in self._availability.held
-        return [self._upload_queue.answer(event, held, self._chunk_bytes, self._neighbours, now)]
-
-    def _end_upload(self, peer: InstanceId) -> list[WeightsAction]:
-        neighbour = self._neighbours.get(peer)
-        if neighbour is not None:
-            neighbour.uploads = max(0, neighbour.uploads - 1)
-        return []
+        leaves_region = self._neighbours[event.peer].location.region != self._location.region
+        urgent = leaves_region or event.peer in self._urgent
+        return [
+            *self._upload_queue.answer(
+                event, held, urgent, self._chunk_bytes, self._neighbours, now
+            )
+        ]
 
     def _record_stored(self, event: ChunkStored, now: float) -> list[WeightsAction]:
         if event.digest != self.digest:
@@ -328,7 +337,9 @@
         pull_plan = self._pull_plan
         if scan:
             pull_plan.detect_lost(self._availability, self._count_pulls() > 0, now)
-        actions = self._plan_pulls(pull_plan.list_planned(self._availability, self._pending), now)
+        actions = self._plan_pulls(
+            pull_plan.list_planned(self._availability, self._pending, now), now
+        )
         if scan:
             takeovers = pull_plan.list_takeovers(self._availability, self._pending, now)
             actions += self._plan_pulls(takeovers, now)
--- a/src/coltsfootshift/gateway/model.py
+++ b/src/coltsfootshift/gateway/model.py
@@ -91,12 +91,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceSpec:
-    """A plain service, a service of model engines (`engine` set) or the origin of weights."""
+    """A plain service, a service of model engines (`engine` set) or the origin of weights.
+
+    `origin_mbps` is the bandwidth of the origin in Mbit/s, zero if it is not known.
+    """
 
     name: ServiceName
     max_connections: int
     engine: EngineSpec | None = None
     origin: Address | None = None
+    origin_mbps: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -35,7 +36,7 @@
     WeightsWanted,
     unpack_bitfield,
 )
-from coltsfootshift.controllers.waves import LoadWaves, ServingState
+from coltsfootshift.controllers.waves import LoadWaves, ServingState, order_loads
 from coltsfootshift.controllers.weights import WeightsController
 from coltsfootshift.gateway.digests import DigestCache
 from coltsfootshift.gateway.engines import EngineReport, LocalEngine, PortError, VersionOrigin
@@ -77,6 +78,9 @@
 ORIGIN_COPIES = 2
 MAX_VERIFICATIONS = 4  # passes over the staged chunks before a load is put off
 MIN_SERVING_SHARE = 0.5  # share of the replicas that keep serving while the others load
+# Agents that learn of a publication within this time share one schedule of the pulls from the
+# origin. One that starts later follows a schedule of its own.
+MAX_NEWS_AGE_SECONDS = 1.0
 INITIAL_VERSION = 1  # wanted until an operator publishes another version
 BITS_PER_MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
@@ -142,6 +146,7 @@
         self._origin: tuple[Address, VersionOrigin] | None = None
         self._wanted: tuple[str, int] = ("", 0)
         self._wanted_at = 0.0
+        self._published_at = 0.0
         self._digests: list[bytes] = []
         self._report: EngineReport | None = None
         self._reported_at = float("-inf")
@@ -232,6 +237,13 @@
             return self._origin[1]
         return None
 
+    def _find_origin_mbps(self) -> float:
+        catalogue = self._tables.catalogue
+        for service in catalogue.services.values() if catalogue else ():
+            if service.origin is not None:
+                return service.origin_mbps
+        return 0.0
+
     def _choose_neighbours(self) -> None:
         locations = {self._own: self._location}
         addresses = {}
@@ -244,10 +256,12 @@
             addresses[name] = Address(record.address.host, self._port)
         peers = choose_neighbours(self._own, locations, self._service)
         self._dialer.set_targets({InstanceId(name): addresses[InstanceId(name)] for name in peers})
-        self._dispatch(PullersChanged(locations))
+        order = order_loads(locations, self._service)
+        min_serving = int(MIN_SERVING_SHARE * len(order))
+        first = frozenset(order[: len(order) - min_serving])
+        self._dispatch(PullersChanged(locations, self._service, first))
         self._digest_cache.set_instances(locations)
-        min_serving = int(MIN_SERVING_SHARE * len(locations))
-        self._waves.set_instances(tuple(locations), min_serving, self.reactor.seconds())
+        self._waves.set_instances(tuple(order), min_serving, self.reactor.seconds())
 
     def _choose_version(self) -> None:
         spec = self._find_spec()
@@ -262,6 +276,9 @@
             return
         self._wanted = wanted
         self._wanted_at = self.reactor.seconds()
+        known_by = chosen.known_by if chosen else inf
+        is_news = 0.0 <= self._wanted_at - known_by <= MAX_NEWS_AGE_SECONDS
+        self._published_at = known_by if is_news else inf
         self._digest_cache.forget_others(label_version(*wanted))
         self._digests = []
         self._transfers.start_version(label_version(*wanted))
@@ -380,9 +397,12 @@
         spec = self._find_spec()
         assert spec is not None
         self._digests = digests
-        self._dispatch(LimitsChanged(ORIGIN_COPIES, self._transfers.rate))
+        origin_rate = self._find_origin_mbps() * BITS_PER_MEGABIT / BITS_PER_BYTE
+        limits = LimitsChanged(ORIGIN_COPIES, self._transfers.rate, origin_rate or None)
+        self._dispatch(limits)
         self._dispatch(WeightsWanted(Digest(""), 0))
-        self._dispatch(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held)))
+        age = max(0.0, self.reactor.seconds() - self._published_at)
+        self._dispatch(WeightsWanted(label, len(digests), spec.chunk_bytes, frozenset(held), age))
         logger.info(
             "version transfer started",
             extra={"model": model, "version": version, "held": len(held)},
--- a/src/coltsfootshift/gateway/transfers.py
+++ b/src/coltsfootshift/gateway/transfers.py
@@ -71,7 +71,8 @@
     def schedule_send(self, action: SendChunk, chunk_bytes: int) -> None:
         """Schedule a chunk such that its last part is sent by the end of the action's delay."""
         begin = max(0.0, action.delay - chunk_bytes / self.rate)
-        self._reactor.callLater(begin, self._send_part, action, 0)
+        begins_at = self._reactor.seconds() + begin
+        self._reactor.callLater(begin, self._send_part, action, 0, begins_at)
 
     def receive_part(self, peer: InstanceId, message: ChunkPart) -> bytes | None:
         """Add a part; return the whole chunk if it was the last part, otherwise None.
@@ -88,7 +89,7 @@
         del self._parts[peer, message.index]
         return bytes(parts)
 
-    def _send_part(self, action: SendChunk, offset: int) -> None:
+    def _send_part(self, action: SendChunk, offset: int, begins_at: float) -> None:
         data = self._chunks.get(action.index)
         if data is None or action.digest != self._label:
             self._send(action.peer, ChunkRefused(action.digest, action.index))
@@ -99,6 +100,8 @@
         message = ChunkPart(action.digest, action.index, offset, len(data), part)
         self._send(action.peer, message)
         if end < len(data):
-            self._reactor.callLater(len(part) / self.rate, self._send_part, action, end)
+            # Timers fire late; times counted from the start keep that from adding up.
+            delay = max(0.0, begins_at + end / self.rate - self._reactor.seconds())
+            self._reactor.callLater(delay, self._send_part, action, end, begins_at)
             return
         self._record_sent(action.peer, True)
