Announce the first copy of a chunk at once, and check the engine as soon as all is staged

Cause: chunks that nobody else nearby holds were announced with the next tick (0.1 s); instances with two neighbours had two requests in flight, not four; the step after the last chunk waited for the next report (up to 0.25 s).

--- a/src/coltsfootshift/controllers/weights.py
+++ b/src/coltsfootshift/controllers/weights.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
+from math import ceil
 from random import Random
 
 from coltsfootshift.controllers.base import Controller, Event
@@ -40,7 +41,7 @@
 
 ORIGIN_RETRY_SECONDS = 0.5
 MAX_ORIGIN_PULLS = 2
-MAX_REQUESTS_PER_NEIGHBOUR = 1  # requests to many neighbours find those whose links are idle
+MAX_REQUESTS_PER_NEIGHBOUR = 2
 MAX_REQUESTS_IN_FLIGHT = 10
 MIN_REQUEST_TIMEOUT_SECONDS = 4.0
 REQUEST_TIMEOUT_CHUNKS = 40
@@ -255,8 +256,11 @@
         if event.index not in self._availability.known_in_region:
             self._pull_plan.progress_at = now
         self._pull_plan.stored_at = now
+        first_holder = not self._availability.holders[event.index]
         self._availability.add_held(event.index)
-        return self._finish_if_complete() + self._plan(now)
+        # Nobody else can pass the chunk on, so the neighbours learn of it before the next tick.
+        actions = self._announce_pending() if first_holder else []
+        return actions + self._finish_if_complete() + self._plan(now)
 
     def _finish_if_complete(self) -> list[WeightsAction]:
         if self._finished or not self._availability.complete:
@@ -295,9 +299,7 @@
         self._ticked_at = now
         actions: list[WeightsAction] = []
         if self.digest:
-            gained, newly_known = self._availability.take_changes()
-            if gained or newly_known:
-                actions.extend(self._announce_changes(gained, newly_known))
+            actions.extend(self._announce_pending())
         self._expire_requests(now)
         return actions + self._plan(now, scan=True)
 
@@ -307,6 +309,12 @@
             self._remove_pending(index)
         self._pull_plan.reset_timers(now)
 
+    def _announce_pending(self) -> list[WeightsAction]:
+        gained, newly_known = self._availability.take_changes()
+        if not gained and not newly_known:
+            return []
+        return list(self._announce_changes(gained, newly_known))
+
     def _announce_changes(
         self, gained: tuple[int, ...], newly_known: tuple[int, ...]
     ) -> Iterator[WeightsAction]:
@@ -373,10 +381,11 @@
 
     def _plan_requests(self, now: float) -> list[WeightsAction]:
         actions: list[WeightsAction] = []
+        limit = self._limit_per_neighbour()
         for index in self._order_available():
             if not self._has_room(now):
                 break
-            peer = self._choose_peer(index, now)
+            peer = self._choose_peer(index, limit, now)
             if peer is None:
                 continue
             self._neighbours[peer].requests_in_flight += 1
@@ -394,14 +403,23 @@
                 choices.append((holders, self._rng.random(), index))
         return [index for _, _, index in sorted(choices)]
 
-    def _choose_peer(self, index: int, now: float) -> InstanceId | None:
+    def _limit_per_neighbour(self) -> int:
+        """Return how many requests may be in flight to one neighbour.
+
+        Requests to many neighbours find those whose links are idle. With few neighbours in the
+        region, more of each keep this instance's own link busy.
+        """
+        in_region = 0
+        for neighbour in self._neighbours.values():
+            in_region += neighbour.location.region == self._location.region
+        needed = ceil(self._max_requests_in_flight / max(1, in_region))
+        return min(MAX_REQUESTS_PER_NEIGHBOUR, needed)
+
+    def _choose_peer(self, index: int, limit: int, now: float) -> InstanceId | None:
         best: tuple[int, bool, float, InstanceId] | None = None
         for peer in sorted(self._availability.holders[index]):
             neighbour = self._neighbours[peer]
-            if (
-                neighbour.requests_in_flight >= MAX_REQUESTS_PER_NEIGHBOUR
-                or neighbour.avoid_until > now
-            ):
+            if neighbour.requests_in_flight >= limit or neighbour.avoid_until > now:
                 continue
             known_in_region = index in self._availability.known_in_region
             if not self._pull_plan.may_fetch_from(
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -293,13 +293,15 @@
         self._tables.record_running(now)
         self._dispatch(WeightsTick())
         self._choose_version()
-        if now - self._reported_at >= REPORT_INTERVAL_SECONDS and not self._step_running:
-            self._reported_at = now
-            self._run_step(self._advance())
+        self._start_step()
 
-    def _run_step(self, coroutine: Any) -> None:
+    def _start_step(self) -> None:
+        now = self.reactor.seconds()
+        if now - self._reported_at < REPORT_INTERVAL_SECONDS or self._step_running:
+            return
+        self._reported_at = now
         self._step_running = True
-        deferred = Deferred.fromCoroutine(coroutine)
+        deferred = Deferred.fromCoroutine(self._advance())
         deferred.addErrback(self._log_failure)
         deferred.addBoth(self._finish_step)
 
@@ -515,6 +517,8 @@
             self._send(action.peer, Have(action.digest, indexes, exists))
         elif isinstance(action, FinishWeights):
             self._all_staged = True
+            self._reported_at = float("-inf")
+            self.reactor.callLater(0, self._start_step)
             logger.info("version staged", extra={"version": self._wanted[1]})
 
     def _pull_from_origin(self, action: PullChunk) -> None:
