Simulate the staging of a version on the users' deployments, with faults; take over crossings by chunk

Now a neighbour whose stream stays closed for 0.5 s counts as lost, and a chunk that could be fetched from another region for a second is fetched by the next rank. coltsfootshift-bench staging reports the targets (half 1.10 floors, all 1.5, two copies from the origin).

--- a/src/coltsfootshift/controllers/pulls.py
+++ b/src/coltsfootshift/controllers/pulls.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterator
+from collections.abc import Container, Iterable, Iterator
 
 from coltsfootshift.controllers.chunk_availability import ChunkAvailability
 from coltsfootshift.controllers.chunk_ranks import ChunkRanks
@@ -14,7 +14,12 @@
 MIN_TAKEOVER_SECONDS = 2.0
 TAKEOVER_CHUNKS = 16
 MIN_LOST_LIMIT = 2
+# How long the next rank waits for a chunk to cross into the region once it can be fetched: some
+# times the transfer of a chunk, which may wait behind others.
+MIN_CROSSING_SECONDS = 1.0
+CROSSING_CHUNKS = 10
 LOST_SHARE_DIVISOR = 8
+LOST_CLOSED_SECONDS = 0.5  # a stream that was only interrupted is open again by then
 
 
 class PullPlan:
@@ -42,6 +47,9 @@
         self._planned_pulls: list[tuple[float, int]] = []
         self._key = ""
         self._began_at = 0.0
+        self._crossing_seconds = MIN_CROSSING_SECONDS
+        self._outside_since: dict[int, float] = {}
+        self._closed_at: dict[InstanceId, float] = {}
         self._origin_chunk_seconds = 0.0
 
     def begin(self, availability: ChunkAvailability, now: float, age: float = 0.0) -> None:
@@ -51,6 +59,7 @@
         self.stored_at = now
         self.failed_at = float("-inf")
         self._lost = set()
+        self._outside_since = {}
         self._compute_ranks(availability)
 
     def set_locations(
@@ -77,18 +86,33 @@
         self._origin_chunk_seconds = origin_chunk_seconds
         self._planned_copies = max(1, planned_copies)
         self.takeover_seconds = max(MIN_TAKEOVER_SECONDS, TAKEOVER_CHUNKS * chunk_seconds)
+        self._crossing_seconds = max(MIN_CROSSING_SECONDS, CROSSING_CHUNKS * chunk_seconds)
         self._list_planned_pulls()
 
     def record_reconnected(self, peer: InstanceId, availability: ChunkAvailability) -> None:
         """Rank an instance again that was considered lost and has reconnected."""
+        self._closed_at.pop(peer, None)
         if peer in self._lost:
             self._lost.discard(peer)
             self._compute_ranks(availability)
 
+    def record_closed(self, peer: InstanceId, now: float) -> None:
+        """Record that the stream to a neighbour has closed."""
+        location = self._locations.get(peer)
+        if location is not None and location.region == self._region:
+            self._closed_at[peer] = now
+
     def reset_timers(self, now: float) -> None:
         """Restart the takeover timeouts, which a pause of this process has made meaningless."""
         self.progress_at = now
         self.stored_at = now
+        self._outside_since = dict.fromkeys(self._outside_since, now)
+        self._closed_at = dict.fromkeys(self._closed_at, now)
+
+    def record_outside(self, indexes: Iterable[int], now: float) -> None:
+        """Record that a neighbour in another region holds these chunks."""
+        for index in indexes:
+            self._outside_since.setdefault(index, now)
 
     def move_to_end(self, index: int, now: float) -> None:
         """Move a failed pull to the end of the schedule."""
@@ -98,7 +122,18 @@
             self._planned_pulls.append(row)
 
     def detect_lost(self, availability: ChunkAvailability, pulling: bool, now: float) -> None:
-        """On timeout, consider the rank 0 instances of all missing chunks lost if they are few."""
+        """Consider instances lost if they are few.
+
+        These are neighbours whose streams stay closed and, on timeout, the rank 0 instances of all
+        missing chunks.
+        """
+        closed = set()
+        for peer, closed_at in self._closed_at.items():
+            if now - closed_at >= LOST_CLOSED_SECONDS and peer in self._locations:
+                closed.add(peer)
+        if not closed <= self._lost and len(closed | self._lost) <= self._limit_lost():
+            self._lost |= closed
+            self._compute_ranks(availability)
         timed_out = now - self.progress_at >= self.takeover_seconds
         if not timed_out or pulling or now - self.failed_at < self.takeover_seconds:
             return
@@ -163,8 +198,10 @@
 
         Its own region is always allowed. A chunk not yet known in the region may be fetched from
         the preceding region in the chunk's order once the rank of this instance is due, and from
-        any region after another interval without progress. A chunk that exists in the region may
-        be fetched from elsewhere only after a longer time without progress here.
+        any region after another interval. Ranks become due one after the other, since the instances
+        before may be lost: without progress, and also from the time on at which the chunk could be
+        fetched. A chunk that exists in the region may be fetched from elsewhere only after a longer
+        time without progress here.
         """
         if region == self._region:
             return True
@@ -172,11 +209,11 @@
         since_progress = now - self.progress_at
         if known_in_region:
             return now - self.stored_at >= (rank + 2) * self.takeover_seconds
-        if since_progress < rank * self.takeover_seconds:
-            return False
-        if region == self._ranks.source_regions[index]:
+        since_outside = now - self._outside_since.get(index, now)
+        intervals = rank if region == self._ranks.source_regions[index] else rank + 1
+        if since_outside >= intervals * self._crossing_seconds:
             return True
-        return since_progress >= (rank + 1) * self.takeover_seconds
+        return since_progress >= intervals * self.takeover_seconds
 
     def _compute_ranks(self, availability: ChunkAvailability) -> None:
         self._ranks = ChunkRanks(
--- a/src/coltsfootshift/controllers/weights.py
+++ b/src/coltsfootshift/controllers/weights.py
@@ -206,6 +206,7 @@
     def _remove_neighbour(self, peer: InstanceId, now: float) -> list[WeightsAction]:
         neighbour = self._neighbours.pop(peer, None)
         self._upload_queue.remove_neighbour(peer)
+        self._pull_plan.record_closed(peer, now)
         if neighbour is not None and neighbour.digest == self.digest:
             self._availability.remove_holder(peer, neighbour.held)
         for index, request in list(self._pending.items()):
@@ -232,6 +233,8 @@
             in_region = (*event.indexes, *event.known_in_region)
             if self._availability.mark_in_region(in_region):
                 self._pull_plan.progress_at = now
+        else:
+            self._pull_plan.record_outside(event.indexes, now)
         return self._plan(now)
 
     def _answer_request(self, event: ChunkRequested, now: float) -> list[WeightsAction]:
--- a/src/coltsfootshift_bench/main.py
+++ b/src/coltsfootshift_bench/main.py
@@ -14,6 +14,8 @@
 from coltsfootshift_bench.catalogue_state import run_catalogue_state
 from coltsfootshift_bench.demo import run_demo
 from coltsfootshift_bench.scenarios import SCENARIOS
+from coltsfootshift_bench.staging import run_staging
+from coltsfootshift_bench.staging_simulation import SITES, StagingFault
 from coltsfootshift_bench.weights import plot_rollouts, run_weights
 from coltsfootshift_bench.weights_faults import FAULTS
 from coltsfootshift_bench.weights_fleet import RolloutPlan
@@ -80,6 +82,32 @@
         sys.exit(EXIT_TARGET_MISSED)
 
 
+def staging(
+    *,
+    site: str = "",
+    lost_agents: int = 0,
+    origin_down: float = 0.0,
+    json: Path | None = None,
+    seed: int = 1,
+) -> None:
+    """Simulate how a version's chunks reach all agents, on the links of the users' deployments.
+
+    Exit status 1 means that a target is missed.
+
+    :param site: name of one deployment; all of them if empty
+    :param lost_agents: how many agents end in mid-transfer
+    :param origin_down: for how many seconds the origin refuses all requests
+    :param json: file to write the report to
+    :param seed: seed of the agents' choices
+    """
+    if site and site not in SITES:
+        print(f"unknown site {site!r}; one of {', '.join(SITES)}", file=sys.stderr)
+        sys.exit(EXIT_USAGE)
+    fault = StagingFault(lost_agents=lost_agents, origin_down_for=origin_down)
+    if not run_staging([site] if site else list(SITES), fault, seed, json):
+        sys.exit(EXIT_TARGET_MISSED)
+
+
 def weights_plot(ours: Path, baseline: Path, image: Path) -> None:
     """Plot the number of live replicas over time from two reports.
 
@@ -174,6 +202,7 @@
         "catalogue-state": catalogue_state,
         "demo": demo,
         "requests": requests,
+        "staging": staging,
         "weights": weights,
         "weights-plot": weights_plot,
     }
--- a/src/coltsfootshift_bench/staging_simulation.py
+++ b/src/coltsfootshift_bench/staging_simulation.py
@@ -25,6 +25,7 @@
     FinishWeights,
     LimitsChanged,
     Location,
+    NeighbourClosed,
     NeighbourHasChunks,
     NeighbourOpened,
     PullChunk,
@@ -48,8 +49,9 @@
 )
 from coltsfootshift.ids import Digest, InstanceId
 
-__all__ = ["StagingRun", "StagingSite", "simulate_staging"]
+__all__ = ["SITES", "StagingFault", "StagingRun", "StagingSite", "simulate_staging"]
 
+KEY = "engines"
 BITS_PER_MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
 # From the publication until an agent has the digests and starts to fetch; it differs by agent.
@@ -79,11 +81,37 @@
         return self.chunks * self.chunk_bytes / count_bytes(self.link_mbps)
 
 
+# Deployments of the users' pages, and one of twice their largest size.
+SITES = {
+    "tawfiq": StagingSite(10, 3, 96, 24_576, 3.65, 7.3, 10.0),
+    "tawfiq-grown": StagingSite(34, 3, 96, 24_576, 3.65, 7.3, 12.0),
+    "tentline": StagingSite(6, 3, 48, 49_152, 4.7, 15.0, 12.5),
+    "tentline-grown": StagingSite(34, 3, 48, 49_152, 4.7, 15.0, 12.5),
+    "tentline-large": StagingSite(45, 5, 48, 49_152, 4.7, 15.0, 15.0, 0.0005, 0.001),
+    "tentline-90": StagingSite(90, 5, 48, 49_152, 4.7, 15.0, 15.0, 0.0005, 0.001),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class StagingFault:
+    """What fails in mid-transfer: agents that are lost, and a time without the origin.
+
+    `lost_agents` end `lost_at` seconds after the publication. The origin refuses all requests from
+    `origin_down_at` on, for `origin_down_for` seconds.
+    """
+
+    lost_agents: int = 0
+    lost_at: float = 1.5
+    origin_down_at: float = 0.5
+    origin_down_for: float = 0.0
+
+
 @dataclass(slots=True)
 class StagingRun:
     """The seconds from the publication until each agent was staged, and what it cost.
 
-    Copies are multiples of the version's size; `region_copies` is the mean for each region.
+    `first_staged` has those of the agents that load first. Copies are multiples of the version's
+    size; `region_copies` is the mean for each region.
     """
 
     staged: list[float] = field(default_factory=list)
@@ -139,8 +167,10 @@
 
 
 class _Fleet:
-    def __init__(self, site: StagingSite, rng: Random) -> None:
+    def __init__(self, site: StagingSite, rng: Random, fault: StagingFault) -> None:
         self.site = site
+        self.fault = fault
+        self._lost: set[InstanceId] = set()
         self.rng = rng
         self.run = StagingRun()
         self.now = 0.0
@@ -155,7 +185,7 @@
             region = f"region-{number % site.regions}"
             name = InstanceId(f"10.{number % site.regions}.0.{number}-7700")
             self.locations[name] = Location(region, region)
-        order = order_loads(self.locations, "engines")
+        order = order_loads(self.locations, KEY)
         self.first = frozenset(order[: len(order) // 2])
         self.controllers = {
             name: WeightsController(
@@ -176,8 +206,8 @@
                 ),
                 0.0,
             )
-            controller.handle(PullersChanged(self.locations, "engines", self.first), 0.0)
-            for peer in choose_neighbours(name, self.locations, "engines"):
+            controller.handle(PullersChanged(self.locations, KEY, self.first), 0.0)
+            for peer in choose_neighbours(name, self.locations, KEY):
                 other = InstanceId(peer)
                 self.dispatch(name, NeighbourOpened(other, self.locations[other]))
                 self.dispatch(other, NeighbourOpened(name, self.locations[name]))
@@ -188,8 +218,16 @@
             )
             self.call(at, partial(self.dispatch, name, wanted))
 
+    def lose_agents(self) -> None:
+        """End the agents that load last; their neighbours see the streams close."""
+        self._lost = set(order_loads(self.locations, KEY)[-self.fault.lost_agents :])
+        for name in self.locations:
+            for lost in self._lost if name not in self._lost else ():
+                self.dispatch(name, NeighbourClosed(lost))
+
     def play(self) -> StagingRun:
-        while len(self.run.staged) < self.site.agents and self.now < MAX_SECONDS:
+        count = self.site.agents - self.fault.lost_agents
+        while len(self.run.staged) < count and self.now < MAX_SECONDS:
             due = self.origin.find_next()
             if due < self._events[0][0]:
                 self.now = due
@@ -200,7 +238,7 @@
         size = self.site.chunks * self.site.chunk_bytes
         self.run.origin_copies /= size
         self.run.region_copies /= size * self.site.regions
-        missing = self.site.agents - len(self.run.staged)
+        missing = count - len(self.run.staged)
         self.run.staged += [MAX_SECONDS] * missing
         return self.run
 
@@ -209,6 +247,8 @@
         self.call(self.now + TICK_SECONDS, lambda: self.tick(name))
 
     def dispatch(self, name: InstanceId, event: Event) -> None:
+        if name in self._lost:
+            return
         for action in self.controllers[name].handle(event, self.now):
             self.perform(name, action)
 
@@ -236,6 +276,10 @@
 
     def pull(self, name: InstanceId, action: PullChunk) -> None:
         size = self.site.chunk_bytes
+        since_down = self.now - self.fault.origin_down_at
+        if 0.0 <= since_down < self.fault.origin_down_for:
+            self.dispatch(name, ChunkFailed(action.digest, action.index, ORIGIN))
+            return
         self.run.origin_copies += size
         stored = ChunkStored(action.digest, action.index, ORIGIN)
 
@@ -275,10 +319,12 @@
         return self.site.delay
 
 
-def simulate_staging(site: StagingSite, seed: int) -> StagingRun:
+def simulate_staging(site: StagingSite, seed: int, fault: StagingFault | None = None) -> StagingRun:
     """Publish a version to agents that hold nothing of it, and return when each was staged."""
-    fleet = _Fleet(site, Random(seed))
+    fleet = _Fleet(site, Random(seed), fault or StagingFault())
     fleet.start()
+    if fleet.fault.lost_agents:
+        fleet.call(fleet.fault.lost_at, fleet.lose_agents)
     return fleet.play()
 
 
--- a/src/coltsfootshift_bench/targets.py
+++ b/src/coltsfootshift_bench/targets.py
@@ -31,6 +31,11 @@
 MAX_ROLLOUT_TIME_RATIO = 1.25
 MAX_FAULT_TIME_RATIO = 2.0
 
+# The first half of the agents, and all of them, with the requests of callers on the same links.
+MAX_HALF_STAGED_RATIO = 1.10
+MAX_ALL_STAGED_RATIO = 1.5
+MAX_STAGED_ORIGIN_COPIES = 2.0
+
 # Weights transferred, as multiples of the size of the version.
 MAX_LEAN_ORIGIN_COPIES = 1.10
 MAX_ORIGIN_COPIES = 4.0
