--- a/src/coltsfootshift/codec.py
+++ b/src/coltsfootshift/codec.py
@@ -40,6 +40,24 @@
 _HANDSHAKE_TYPES = _index_by_tag([Hello, Proof])
 
 
+class _Encoder:
+    """Keeps the latest frame, since a message to all peers is sent to one after the other."""
+
+    def __init__(self) -> None:
+        self._message: Message | None = None
+        self._frame = b""
+
+    def encode(self, message: Message) -> bytes:
+        if message is not self._message:
+            content = msgspec.to_builtins(message, builtin_types=(bytes,))
+            self._frame = msgpack.packb(content, use_bin_type=True)
+            self._message = message
+        return self._frame
+
+
+_encoder = _Encoder()
+
+
 def encode_message(message: Message) -> bytes:
     """Encode a message as a msgpack frame.
 
@@ -47,7 +65,7 @@
     >>> decode_message(encode_message(messages.Heartbeat(sent_at=1.5)))
     Heartbeat(sent_at=1.5, next_in=0, needed=False)
     """
-    return msgpack.packb(msgspec.to_builtins(message, builtin_types=(bytes,)), use_bin_type=True)
+    return _encoder.encode(message)
 
 
 def decode_message(frame: bytes) -> Message:
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -50,6 +50,7 @@
 __all__ = ["FleetObserver", "FleetTask"]
 
 TICK_SECONDS = 0.5
+FAR_ANNOUNCEMENT_TICKS = 2  # an entry counts as silent after 2.5 s
 REQUEST_TIMEOUT_SECONDS = 1.0  # a peer normally answers within a few round trips of milliseconds
 # Changes of endpoints are small, and a leaving endpoint must be known everywhere within 2 s.
 ENDPOINTS_REQUEST_TIMEOUT_SECONDS = 0.4
@@ -135,6 +136,7 @@
         self._announced: dict[Table, tuple[TablePosition, PeerStream]] = {}
         self._behind_since: dict[Table, tuple[TablePosition, float]] = {}
         self._ticked_at = context.reactor.seconds()
+        self._ticks = 0
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
@@ -151,17 +153,32 @@
 
     def announce(self) -> None:
         """Send this entry's row and table revisions to all peers now."""
-        own = self._roster.own
-        if own is None:
+        if self._roster.own is None:
             return
+        self._raise_sequence()
+        self._send_announcement([streams[-1] for streams in self._streams.values()])
+
+    def _raise_sequence(self) -> None:
+        own = self._roster.own
+        assert own is not None
         self._roster.own = msgspec.structs.replace(own, sequence=own.sequence + 1)
+
+    def _send_announcement(self, streams: list[PeerStream]) -> None:
+        own = self._roster.own
+        assert own is not None
         other_rows = self._roster.list_rows()[1:]
         fallbacks = self._rng.sample(other_rows, min(FALLBACK_ENTRIES, len(other_rows)))
+        to_entries, to_agents = EntryList([own]), EntryList([own, *fallbacks])
+        agents = [stream for stream in streams if stream.peer_role == Role.AGENT.value]
+        # One message after the other, so that each is encoded once.
+        for stream in agents:
+            stream.send(to_agents)
+        for stream in streams:
+            if stream.peer_role != Role.AGENT.value:
+                stream.send(to_entries)
         report = self._make_revision_report()
-        for streams in list(self._streams.values()):
-            is_agent = streams[-1].peer_role == Role.AGENT.value
-            streams[-1].send(EntryList([self._roster.own, *(fallbacks if is_agent else ())]))
-            streams[-1].send(report)
+        for stream in streams:
+            stream.send(report)
 
     def knows_of_changes(self, table: Table) -> bool:
         """Return whether a peer has announced changes of a table that have not arrived yet."""
@@ -251,7 +268,26 @@
         self._choose_peers()
         if silent:
             self._observer.roster_changed()
-        self.announce()
+        self._announce_periodically()
+
+    def _announce_periodically(self) -> None:
+        """Announce that nothing has changed, to peers in other regions less often.
+
+        Load pattern: every entry is connected to every other, so that these messages grow with the
+        square of their number, and most of them cross the links between regions. What a reader of
+        the store confirms goes to all with every tick, since it must not be older than
+        `MAX_RELAYED_AGE_SECONDS` anywhere. Changes are announced to all at once.
+        """
+        if self._roster.own is None:
+            return
+        self._ticks += 1
+        is_reader = any(self._observer.reads_store(table) for table in Table)
+        if is_reader or self._ticks % FAR_ANNOUNCEMENT_TICKS == 0:
+            self.announce()
+            return
+        self._raise_sequence()
+        near = [streams[-1] for streams in self._streams.values() if streams[-1].peer_is_near]
+        self._send_announcement(near)
 
     def _log_traffic(self, now: float) -> None:
         sent = self._context.traffic.take_report(now)
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import gc
 import signal
 import sys
 import time
@@ -143,6 +144,9 @@
             cause = str(error.socketError)
             logger.error("cannot listen, process ends", extra={**address, "cause": cause})
             sys.exit(EXIT_CANNOT_LISTEN)
+        # What was imported and made at the start stays; the collector need not visit it again.
+        gc.collect()
+        gc.freeze()
         self.reactor.run(installSignalHandlers=False)
         end_process()
 
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -485,6 +485,30 @@
     assert fleet._roster.count_live() == live
 
 
+@pytest.mark.parametrize(
+    ("reads", "near", "sent"),
+    [(False, True, 8), (False, False, 4), (True, False, 8)],
+    ids=["own region", "another region", "reader of the store"],
+)
+def test_peers_in_other_regions_are_told_less_often_that_nothing_changed(clock, reads, near, sent):
+    """Load pattern: all entries tell all others, most of them over the links between regions."""
+    address = Address("10.0.0.1", 1)
+    observer = Observer(reads=reads)
+    tables = TableCache(NullDecoder())
+    fleet = FleetTask(Context(clock), tables, Roster(make_row()), [], address, observer, Random(1))
+    stream = Stream()
+    stream.peer_is_near = near
+    fleet.stream_opened(stream)
+    stream.sent.clear()
+    fleet.start()
+    clock.pump([0.5] * 7)
+    rows = [message.rows[0] for message in stream.sent if isinstance(message, EntryList)]
+    assert len(rows) == sent
+    assert [row.sequence for row in rows] == sorted({row.sequence for row in rows})
+    fleet.announce()
+    assert isinstance(stream.sent[-2], EntryList)
+
+
 class BeliefObserver(Observer):
     """Knows one report; everything that it receives is news unless `known` is set."""
 
