Take back the wait for the next version and the early switch; connect all agents of a small region

At 21 s all agents gave up version 2 for version 3, whose digests could not be read: the origin was down from 20.5 to 26.5 s. First engine 33.7 s, nothing served from 24 on. Up to 17 agents of a region are now all connected.

--- a/src/coltsfootshift/controllers/chunk_ranks.py
+++ b/src/coltsfootshift/controllers/chunk_ranks.py
@@ -146,7 +146,14 @@
 
 
 def _build_rings(names: list[str], key: str) -> list[list[str]]:
-    return [rank_by_hash(f"{key}/{ring}", names) for ring in range(NEIGHBOUR_RINGS)]
+    """Return the orders in which each instance chooses its successor.
+
+    In a small region the orders are those in which each instance is followed by each other one: one
+    with fewer neighbours finds idle links less often, and is complete later.
+    """
+    if len(names) > 2 * NEIGHBOUR_RINGS + 1:
+        return [rank_by_hash(f"{key}/{ring}", names) for ring in range(NEIGHBOUR_RINGS)]
+    return [[first, second] for first in names for second in names if first < second]
 
 
 def _list_candidates(
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -46,7 +46,6 @@
 from coltsfootshift.gateway.versions import (
     LOAD_MARGIN_SECONDS,
     VersionSelector,
-    compute_switch_age,
     find_first_limit,
 )
 from coltsfootshift.ids import Digest, InstanceId, Purpose, ServiceName
@@ -82,7 +81,6 @@
 # Agents that learn of a publication within this time share one schedule of the pulls from the
 # origin. One that starts later follows a schedule of its own.
 MAX_NEWS_AGE_SECONDS = 1.0
-TRANSFER_OVERHEAD = 1.1  # time until half of the agents are staged, in transfers of one copy
 INITIAL_VERSION = 1  # wanted until an operator publishes another version
 BITS_PER_MEGABIT = 1_000_000
 BITS_PER_BYTE = 8
@@ -270,10 +268,6 @@
         if spec is None or not spec.models:
             return
         model = spec.models[0]
-        transfer_seconds = spec.chunks * spec.chunk_bytes / self._transfers.rate
-        self._version_selector.switch_age = compute_switch_age(
-            TRANSFER_OVERHEAD * transfer_seconds, self._version_within
-        )
         chosen = self._version_selector.choose(
             self._tables.wanted_versions.get(model, []), self.reactor.seconds()
         )
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -73,9 +73,6 @@
 # than another late one: endpoints that fell silent together are soon back.
 UNREACHED_WAIT_SHARE = 1 / 3
 MAX_EXTRA_WAIT_SECONDS = 1.0
-# Load pattern: from the limit of a version until engines have loaded the next one nobody serves.
-# Callers leave a stream from which they have heard nothing for two seconds.
-MAX_VERSION_WAIT_SECONDS = 1.9
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
@@ -512,12 +509,6 @@
             states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         return [state for state in states if state.record.loading]
 
-    def _list_outdated(self, exchange: Exchange) -> list[EndpointState]:
-        """Return the engines whose version of the model may not serve the request any more."""
-        states = self._by_service.get(exchange.service.name, [])
-        model = exchange.admission.head.model
-        return [state for state in states if model in state.record.versions]
-
     def _list_ending_in_time(
         self,
         states: list[EndpointState],
@@ -647,13 +638,6 @@
         if not states and self._stop_schedule is not None:
             exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
             return
-        late = self._is_likely_retry(exchange) or exchange.send_count > 0
-        extra_wait = self._find_extra_wait(exchange)
-        if not states and late and exchange.version is None:
-            # The caller has returned once and hardly comes again, so it waits for the version
-            # that these engines load next.
-            states = self._list_outdated(exchange)
-            extra_wait = MAX_VERSION_WAIT_SECONDS - MAX_LATE_WAIT_SECONDS
         if not states:
             left = admission.expires_at - now
             retry_after = draw_retry_after(left, float("inf"), self._rng)
@@ -663,7 +647,8 @@
         send_by = (
             admission.arrived_at + route.latency_objective - min(start, route.latency_objective / 2)
         )
-        waits_from = admission.arrived_at + extra_wait
+        late = self._is_likely_retry(exchange) or exchange.send_count > 0
+        waits_from = admission.arrived_at + self._find_extra_wait(exchange)
         queued = QueuedRequest(
             exchange, admission.priority, waits_from, send_by, admission.expires_at, late
         )
--- a/src/coltsfootshift/gateway/versions.py
+++ b/src/coltsfootshift/gateway/versions.py
@@ -13,7 +13,6 @@
     "VERSION_MARGIN_SECONDS",
     "WITHDRAWAL_MARGIN_SECONDS",
     "VersionSelector",
-    "compute_switch_age",
     "find_first_limit",
 ]
 
@@ -39,10 +38,9 @@
     A new version may be published while the previous one is still being transferred. Each has
     its own deadline from which requests must be answered by it, so abandoning the first transfer
     would leave no version allowed to serve until the second has reached all engines. The current
-    transfer is therefore finished, unless it is stuck or the newer version was published within
-    `switch_age` of its start. Times count from when the earliest process had a version, so that
-    agents that learn of it late make the same choice; after a switch they still count from the
-    start of the first transfer, so that versions in quick succession do not delay it for ever.
+    transfer is therefore finished, unless it has only just started or is stuck. Times count from
+    when the earliest process had a version, so that agents that learn of it late make the same
+    choice.
 
     >>> selector = VersionSelector()
     >>> two, three = WantedVersion("m", 2, 18.0), WantedVersion("m", 3, 21.0)
@@ -54,7 +52,6 @@
     """
 
     def __init__(self) -> None:
-        self.switch_age = MAX_SWITCH_AGE_SECONDS
         self._current: WantedVersion | None = None
         self._started_at = 0.0
         self._ordered_version = 0
@@ -76,10 +73,8 @@
             return None
         newest, current = wanted[-1], self._current
         if current is None or self._can_switch(current, newest, now):
-            is_unfinished = current is not None and self._ordered_version < current.version
-            if not is_unfinished or self._is_stuck(now):
-                self._started_at = now - max(0.0, newest.learnt_at - newest.known_by)
             self._current = newest
+            self._started_at = now - max(0.0, newest.learnt_at - newest.known_by)
         return self._current
 
     def _can_switch(self, current: WantedVersion, newest: WantedVersion, now: float) -> bool:
@@ -88,31 +83,7 @@
         if self._ordered_version >= current.version:
             return True
         elapsed = newest.known_by - self._started_at
-        return elapsed < self.switch_age or self._is_stuck(now)
-
-    def _is_stuck(self, now: float) -> bool:
-        return now - self._started_at > STUCK_TRANSFER_SECONDS
-
-
-def compute_switch_age(transfer_seconds: float, version_within: float) -> float:
-    """Return until when it is better to begin with a newer version than to finish the current one.
-
-    Entries send to an outdated version until `VERSION_MARGIN_SECONDS` before `version_within`.
-    With `usable` for that time, a newer version published after `age` and transferred after the
-    current one leaves engines without a version that may serve for `transfer - usable` (if
-    positive) and again for `2 * transfer - age - usable`. Transferred at once it leaves them
-    without one for `age + transfer - usable`. The result is the age at which both are equal.
-
-    >>> round(compute_switch_age(6.2, 8.0), 2), compute_switch_age(4.8, 8.0)
-    (3.2, 2.4)
-    >>> compute_switch_age(1.5, 8.0)
-    1.0
-    """
-    usable = version_within - VERSION_MARGIN_SECONDS
-    if 1.5 * transfer_seconds <= usable:
-        return MAX_SWITCH_AGE_SECONDS  # neither order leaves engines without a version
-    age = transfer_seconds / 2 + max(0.0, transfer_seconds - usable) / 2
-    return max(MAX_SWITCH_AGE_SECONDS, age)
+        return elapsed < MAX_SWITCH_AGE_SECONDS or now - self._started_at > STUCK_TRANSFER_SECONDS
 
 
 def find_first_limit(
