Dial peers that refuse connections sooner; use no endpoint whose place another has taken

Meanwhile and after it entries sent requests to the records of engines that had ended, each rejected with 421 on one of its attempts. Change: dials are 0.05 to 0.25 s apart; a record is not used if an endpoint with a later start has the same address.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -51,7 +51,12 @@
 STARTUP_SECONDS = 1.0  # interpreter start and imports take 0.5 s on a shared machine
 INTERPRETER_SECONDS = 0.3  # from the start of the process to the first line of the program
 # A change must be in force within 2 s, so a lost peer must be detected and redialled within that.
-PEER_TIMING = StreamTiming(heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_most=1.0)
+# After a loss of the whole fleet agents are started some tenths of a second before entries listen,
+# and each later dial delays the return of the engines. Dials to a machine without power take the
+# whole time-out, so that they are no more frequent.
+PEER_TIMING = StreamTiming(
+    heartbeat=0.5, silence=1.5, connect_timeout=1.0, retry_first=0.05, retry_most=0.25
+)
 MILLISECONDS_PER_SECOND = 1000
 
 logger = get_logger("gateway.node")
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -216,12 +216,19 @@
         """Rebuild the routing state from the cached tables."""
         by_service: dict[ServiceName, list[EndpointState]] = {}
         catalogue = self.tables.catalogue
+        latest_starts: dict[Address, int] = {}
+        for record in self.tables.endpoints.values():
+            latest_starts[record.address] = max(latest_starts.get(record.address, 0), record.born)
         for name, record in self.tables.endpoints.items():
             spec = catalogue.services.get(record.service) if catalogue else None
             if spec is None:
                 continue
             state = self._update_state(name, record, spec)
-            if not record.leaving and not self._notices.is_leaving(record.incarnation):
+            if record.leaving or self._notices.is_leaving(record.incarnation):
+                continue
+            # An endpoint that started later at the same address has taken the place of this one,
+            # whose record stays until its lease expires.
+            if record.born >= latest_starts[record.address]:
                 by_service.setdefault(record.service, []).append(state)
         for name in [name for name in self._states if name not in self.tables.endpoints]:
             del self._states[name]
--- a/tests/test_gateway_answers.py
+++ b/tests/test_gateway_answers.py
@@ -464,3 +464,25 @@
     harness.add_endpoint("m-0", "llm", 180, {"m": 2})
     harness.gateway.refresh()
     assert endpoint.value()
+
+
+@pytest.mark.parametrize(
+    ("born", "port", "expected"),
+    [(5, 180, "m-new"), (15, 180, "m-old"), (5, 181, "m-old")],
+    ids=["replaced", "other started later", "other address"],
+)
+def test_endpoint_whose_place_another_has_taken_gets_no_request(born, port, expected):
+    """Load pattern: all engines restarted under new ids; their old records have not expired yet.
+
+    A request sent to such a record is rejected, and each rejection costs one of its attempts.
+    """
+    harness = GatewayHarness(endpoints=0)
+    harness.add_endpoint("m-old", "llm", 180, {"m": 1}, born=born)
+    versions = {"m": 1} if expected == "m-new" else {}
+    harness.add_endpoint("m-new", "llm", port, versions, born=10)
+    harness.gateway.refresh()
+    for number in range(4):
+        headers = ("X-Model: m", "X-Token-Counts: 100,50")
+        harness.send_request("model", headers=headers, request=f"r-{number}")
+        endpoint = harness.accept()
+        assert f"x-expect-instance: {expected}".encode() in endpoint.value().lower()
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -10,8 +10,10 @@
 from coltsfootshift_platform.dialect import PlatformDialect
 from fleet_harness import Context, Observer, Stream
 from gateway_harness import BOUNDS, NullDecoder
+from twisted.internet.error import ConnectionRefusedError
 from twisted.internet.task import Clock
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
 from coltsfootshift.codec import decode_message, encode_message
 from coltsfootshift.controllers.quarantine import Standing
@@ -302,6 +304,31 @@
     assert reactor.tcpClients[-1][2].buildProtocol(None) is not None
 
 
+@pytest.mark.parametrize("seed", range(5))
+@pytest.mark.parametrize("listens_after", [0.3, 0.6, 2.0])
+def test_agent_that_starts_first_connects_soon_after_an_entry_listens(seed, listens_after):
+    """Load pattern: all processes were killed and start again; agents are ready before entries."""
+    hello = Hello("agent-1", "1", "agent", "entries", "", "north", "a", 0.0)
+    reactor = MemoryReactorClock()
+    context = StreamContext(
+        reactor, PEER_TIMING, Metrics(), lambda purpose: hello, KeyRing.make("secret")
+    )
+    tables = TableCache(NullDecoder())
+    seeds = [Address("10.1.0.1", 1)]
+    fleet = FleetTask(context, tables, Roster(None), seeds, None, Observer(), Random(seed))
+    fleet.start()
+    dialled = 0
+    while reactor.seconds() < listens_after:
+        if dialled < len(reactor.tcpClients):
+            dialled += 1
+            factory = reactor.tcpClients[-1][2]
+            factory.clientConnectionFailed(None, Failure(ConnectionRefusedError()))
+        reactor.advance(0.01)
+    while dialled == len(reactor.tcpClients):
+        reactor.advance(0.01)
+    assert reactor.seconds() - listens_after <= 0.4
+
+
 def make_region_row(region, number):
     host = f"10.{1 if region == 'north' else 2}.0.{number}"
     return EntryRow(f"{region}-{number}", 1, host, 1, 2, region, region, True, False)
