--- a/src/coltsfootshift/gateway/engines.py
+++ b/src/coltsfootshift/gateway/engines.py
@@ -80,6 +80,13 @@
         them first. `fencing` is the fencing number of the order.
         """
 
+    @abstractmethod
+    def reset_connections(self) -> None:
+        """Use new connections, after an answer that may have been that of another request.
+
+        A second copy of an answer, late on a connection in use, moves all that follow by one.
+        """
+
 
 class VersionOrigin(ABC):
     """The origin of weights; its bandwidth is costly, so agents read as little as possible."""
@@ -91,3 +98,7 @@
     @abstractmethod
     def read_chunk(self, model: str, version: int, index: int) -> Deferred[bytes]:
         """Return the bytes of a chunk without verifying its digest; fails with `PortError`."""
+
+    @abstractmethod
+    def reset_connections(self) -> None:
+        """Use new connections, as `LocalEngine.reset_connections` does."""
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -487,6 +487,7 @@
             if self._wanted != (model, version):
                 return repaired
             repaired += 1
+            self._engine.reset_connections()
             self._metrics.count("chunks_staged_again")
             logger.warning(
                 "staged chunk missing or corrupted; staging it again", extra={"index": index}
@@ -550,6 +551,9 @@
         if hashlib.sha256(data).digest() != self._digests[index]:
             self._metrics.count("chunks_corrupted")
             logger.info("chunk does not match its digest", extra={"index": index, "source": source})
+            origin = self._find_origin()
+            if source == ORIGIN and origin is not None:
+                origin.reset_connections()
             if source == ORIGIN and self._digest_cache.record_mismatch(Digest(digest), index):
                 logger.warning(
                     "repeated digest mismatch; reading digests again",
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -8,8 +8,10 @@
 from unittest.mock import Mock
 
 import pytest
+from coltsfootshift_platform.engines import HttpEngine
 from gateway_harness import ENGINE_SPEC, GatewayHarness
 from twisted.internet.defer import fail, succeed
+from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.controllers.chunks import Location
 from coltsfootshift.gateway.engines import EngineReport, OrderResult, PortError
@@ -40,6 +42,9 @@
     def read_staged(self, model, index):
         return succeed(CHUNK)
 
+    def reset_connections(self):
+        pass
+
     def stage(self, model, index, data):
         return succeed(None)
 
@@ -62,6 +67,9 @@
     def read_chunk(self, model, version, index):
         return succeed(CHUNK)
 
+    def reset_connections(self):
+        pass
+
 
 def make_rollout(engine):
     """Return a clock, the tables and the rollout of the only agent, whose chunk is staged."""
@@ -128,3 +136,46 @@
     tables.wanted_versions["m"].append(WantedVersion("m", 3, clock.seconds()))
     run(clock, 2.0)
     assert engine.orders == [(3, 0)]
+
+
+class CopyingEngine(StubEngine):
+    """Its answers about staged chunks are those of earlier requests on the same connection."""
+
+    def __init__(self):
+        super().__init__(1, answers=True)
+        self.copies = False
+
+    def read_staged(self, model, index):
+        return succeed(b"of the request before" if self.copies else CHUNK)
+
+    def reset_connections(self):
+        self.copies = False
+
+
+def test_engine_whose_answers_come_one_request_late_is_loaded():
+    """A second copy of an answer moved all later ones on its connection by one request."""
+    engine = CopyingEngine()
+    clock, tables, rollout = make_rollout(engine)
+    rollout.refresh()
+    rollout.start(1)
+    run(clock, 1.0)
+    engine.copies = True
+    tables.wanted_versions["m"] = [WantedVersion("m", 2, clock.seconds())]
+    run(clock, 2.0)
+    assert engine.orders == [(2, 0)]
+
+
+def test_connections_with_an_answer_that_cannot_be_read_are_not_used_again():
+    clock = MemoryReactorClock()
+    client = HttpEngine(clock, Address("10.0.0.9", 80))
+    before = client._client._pool
+    answers = iter([b"of another request"])
+
+    async def get(path, query, max_bytes=0):
+        return next(answers)
+
+    client._client.get = get
+    failures = []
+    client.read_report().addErrback(failures.append)
+    assert failures[0].check(PortError)
+    assert client._client._pool is not before
