--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -499,9 +499,8 @@
         while self._idle:
             self._idle.pop().cancel()
 
-    def close_expired(self) -> None:
+    def close_expired(self, now: float) -> None:
         """Close connections that have been idle for too long."""
-        now = self.reactor.seconds()
         while self._idle and self._idle[0].idle_until <= now:
             self._idle.popleft().cancel()
 
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -142,6 +142,8 @@
         self._digest_cache = DigestCache(self._own)
         self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
         self._streams: dict[InstanceId, PeerStream] = {}
+        self._addresses: dict[InstanceId, Address] = {}
+        self._locations: dict[InstanceId, Location] = {}
         self._version_selector = VersionSelector()
         self._origin: tuple[Address, VersionOrigin] | None = None
         self._wanted: tuple[str, int] = ("", 0)
@@ -246,7 +248,7 @@
 
     def _choose_neighbours(self) -> None:
         locations = {self._own: self._location}
-        addresses = {}
+        addresses: dict[InstanceId, Address] = {}
         for record in self._tables.endpoints.values():
             if record.service != self._service:
                 continue
@@ -254,6 +256,10 @@
             domain = record.failure_domain
             locations[name] = Location(self._regions.get(domain, ""), domain)
             addresses[name] = Address(record.address.host, self._port)
+        # Most changes of the endpoints' table are of others, or of what an engine serves.
+        if addresses == self._addresses and locations == self._locations:
+            return
+        self._addresses, self._locations = addresses, locations
         peers = choose_neighbours(self._own, locations, self._service)
         self._dialer.set_targets({InstanceId(name): addresses[InstanceId(name)] for name in peers})
         order = order_loads(locations, self._service)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -64,6 +64,7 @@
 __all__ = ["Gateway", "GatewayBounds"]
 
 TICK_SECONDS = 0.02  # bounds the delay in noticing a free slot or an expired queued request
+POOL_CHECK_SECONDS = 0.25  # an expired connection is not used, whether closed yet or not
 LATE_TICK_SECONDS = 0.15  # a tick that is later than this is logged, and waits for what to read
 # A deadline below this share of the longest seen on the route indicates a caller's retry.
 RETRY_DEADLINE_RATIO = 0.9
@@ -159,6 +160,7 @@
         self._own = InstanceId("")
         self._entries: tuple[str, ...] = (self._own,)
         self._ticked_at = reactor.seconds()
+        self._pools_checked_at = reactor.seconds()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
@@ -730,8 +732,10 @@
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
         self._withdraw_outdated(now)
-        for pool in self._pools.values():
-            pool.close_expired()
+        if now - self._pools_checked_at >= POOL_CHECK_SECONDS:
+            self._pools_checked_at = now
+            for pool in self._pools.values():
+                pool.close_expired(now)
         if self.beliefs.limits.remove_expired(now):
             self.apply_limits()
         if self.tables.remove_expired(now):
@@ -742,13 +746,18 @@
 
     def _withdraw_outdated(self, now: float, only_unsent: bool = False) -> None:
         """Withdraw the requests that engines might begin after the limit of their version."""
+        min_versions: dict[str, int] = {}
         for exchange in list(self._exchanges):
             if exchange.attempted is None or exchange.service.engine is None:
                 continue
             if only_unsent and exchange.sent:
                 continue
-            min_version = self._find_min_version(exchange, now, WITHDRAWAL_MARGIN_SECONDS)
-            exchange.withdraw_outdated(min_version, now)
+            model = exchange.admission.head.model
+            if model not in min_versions:
+                min_versions[model] = self._find_min_version(
+                    exchange, now, WITHDRAWAL_MARGIN_SECONDS
+                )
+            exchange.withdraw_outdated(min_versions[model], now)
 
     def _restart(self, failure: Failure) -> None:
         """Log a failure of the periodic task, and start it again: all requests depend on it."""
