--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -358,7 +358,7 @@
 def test_refused_dialler_does_not_dial_while_the_other_stream_is_open() -> None:
     """Load pattern: all entries know each other by address only, and dial each other.
 
-    Each of 39 entries made 94 handshakes a second, all but a few of them refused as duplicates.
+    One of 39 entries began 2,534 streams in 27 s, for 38 peers.
     """
     clock = MemoryReactorClock()
     one = Process("a", clock, KeyRing.make(OLD))
