Log how a caller's connection with an unfinished request ended

A caller that had left could not be told from a connection that this process had closed: both gave `request ended` with `caller gone`, or no line at all. `caller connection ended` now names who ended it (caller, process, error), the cause, the bytes of the answer passed on and not sent, whether bytes of the caller were unread, and how late the periodic task was. Idle connections are counted only. No logic is changed; the text of one line (a connection that fails while it is looked at) is more general, since it is looked at in one more place.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -4,10 +4,13 @@
 
 from abc import ABC, abstractmethod
 from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
 from socket import MSG_DONTWAIT, MSG_PEEK
 from typing import Any
 
 import h11
+from twisted.internet.error import ConnectionAborted, ConnectionClosed
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
 
@@ -15,10 +18,19 @@
 from coltsfootshift.gateway.model import CallerLimits
 from coltsfootshift.logs import get_logger
 
-__all__ = ["CallerConnection", "CallerFactory", "RequestHandler", "IncomingRequest"]
+__all__ = [
+    "CallerConnection",
+    "CallerFactory",
+    "ConnectionEnd",
+    "Ender",
+    "IncomingRequest",
+    "RequestHandler",
+]
 
 logger = get_logger("gateway.callers")
 
+MAX_CAUSE_CHARACTERS = 200
+
 _REASON_PHRASES = {
     200: b"OK",
     408: b"Request Timeout",
@@ -30,6 +42,35 @@
 }
 
 
+class Ender(Enum):
+    """Who has ended a caller's connection; `ERROR` stands for an exception in this process."""
+
+    CALLER = "caller"
+    PROCESS = "process"
+    ERROR = "error"
+
+
+@dataclass(frozen=True, slots=True)
+class ConnectionEnd:
+    """How a caller's connection has ended.
+
+    `request` is the whole request whose answer was not finished, or not sent to the last byte; it
+    is None while the next request is being read. `answer_bytes` of its answer were passed to the
+    transport, and `unsent_bytes` waited there. `unread` is set if bytes of the caller had not been
+    processed, and `incomplete` if any request, whole or in part, was left without all of its
+    answer.
+    """
+
+    ended_by: Ender
+    cause: str
+    request: IncomingRequest | None
+    answer_bytes: int
+    unsent_bytes: int
+    unread: bool
+    reused: bool
+    incomplete: bool
+
+
 class IncomingRequest:
     """A complete request of a caller, with the methods to respond to it.
 
@@ -37,6 +78,7 @@
     finished. `on_blocked` is called when more of the response waits to be sent than the transport
     holds, and `on_unblocked` when all of it has been sent. `arrived_at` is in seconds of the
     reactor's clock; `connection_reused` is set if the connection has carried a request before.
+    `request` is the id that the caller has given it, empty until it is known.
     """
 
     def __init__(
@@ -50,6 +92,7 @@
         self.on_disconnect: Callable[[], None] | None = None
         self.on_blocked: Callable[[], None] | None = None
         self.on_unblocked: Callable[[], None] | None = None
+        self.request = ""
         self.head_sent = False
         self.finished = False
         self.connection_reused = connection.request_count > 1
@@ -100,14 +143,14 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
         if self.head_sent:
-            self.abort()
+            self.abort("its handling failed")
         else:
             self.respond(502, [], b"")
 
-    def abort(self) -> None:
+    def abort(self, cause: str) -> None:
         """Abort the connection, so that the caller cannot treat the response as complete."""
         self.finished = True
-        self._connection.abort()
+        self._connection.abort(Ender.PROCESS, cause)
 
 
 class RequestHandler(ABC):
@@ -123,10 +166,19 @@
     def closing(self) -> bool:
         """Whether connections are closed after the response in progress."""
 
+    @property
+    @abstractmethod
+    def stopped(self) -> bool:
+        """Whether this process has ended all requests and stops."""
+
     @abstractmethod
     def handle_request(self, request: IncomingRequest) -> None:
         """Respond to a request, now or later."""
 
+    @abstractmethod
+    def record_connection_end(self, end: ConnectionEnd) -> None:
+        """Record how a caller's connection has ended; called once for each."""
+
 
 class CallerConnection(Protocol):
     """A connection of a caller; its requests are processed one at a time, in order."""
@@ -145,6 +197,9 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._request: IncomingRequest | None = None
+        self._latest: IncomingRequest | None = None
+        self._answer_bytes = 0
+        self._end_recorded = False
         self._timeout: Any = None
         self._rejected = False
         self._watching = False
@@ -177,6 +232,7 @@
         """Notify the request in progress that its caller has disconnected."""
         self.open = False
         self._cancel_timeout()
+        self._record_loss(reason)
         request, self._request = self._request, None
         if request is not None and not request.finished and request.on_disconnect is not None:
             request.on_disconnect()
@@ -233,8 +289,10 @@
             self._set_timeout(self._handler.limits.idle_timeout, self._on_idle_timeout)
         self._read_events()
 
-    def abort(self) -> None:
+    def abort(self, ended_by: Ender, cause: str) -> None:
         """Close the connection without flushing it."""
+        if self.open:
+            self._record_end(ended_by, cause, self._has_further_bytes())
         self._request = None
         if self.open:
             self.transport.abortConnection()
@@ -244,6 +302,38 @@
         if self.open and self._is_idle():
             self._close_when_sent()
 
+    def _record_loss(self, reason: Failure) -> None:
+        """Record the end of the connection unless this process has closed it before."""
+        ended_by = Ender.CALLER
+        if self._handler.stopped or reason.check(ConnectionAborted):
+            ended_by = Ender.PROCESS
+        elif not reason.check(ConnectionClosed):
+            ended_by = Ender.ERROR
+        cause = f"{type(reason.value).__name__}: {reason.getErrorMessage()}"
+        self._record_end(ended_by, cause, bool(self._http.trailing_data[0]))
+
+    def _record_end(self, ended_by: Ender, cause: str, unread: bool) -> None:
+        if self._end_recorded:
+            return
+        self._end_recorded = True
+        unsent_bytes = _count_unsent(self.transport)
+        request = self._request
+        if request is None and unsent_bytes:
+            request = self._latest
+        reading = self._head is not None or unread
+        self._handler.record_connection_end(
+            ConnectionEnd(
+                ended_by,
+                cause[:MAX_CAUSE_CHARACTERS],
+                request,
+                answer_bytes=0 if request is None else self._answer_bytes,
+                unsent_bytes=unsent_bytes,
+                unread=unread,
+                reused=self.request_count > 1,
+                incomplete=request is not None or self._rejected or (reading and not self._closing),
+            )
+        )
+
     def _is_idle(self) -> bool:
         """Return whether no request is in progress, and no byte of a further one has arrived."""
         if self._request is not None or self._head is not None:
@@ -262,7 +352,7 @@
         except BlockingIOError:
             return False
         except OSError as error:
-            logger.info("caller connection failed while idle", extra={"cause": str(error)})
+            logger.info("caller connection failed", extra={"cause": str(error)})
             return False
 
     def _close_when_sent(self) -> None:
@@ -272,10 +362,11 @@
     def _send(self, event: Any) -> None:
         try:
             data = self._http.send(event)
-        except h11.LocalProtocolError:
-            self.abort()
+        except h11.LocalProtocolError as error:
+            self.abort(Ender.ERROR, f"the answer cannot be sent: {error}")
             raise
         if data and self.open:
+            self._answer_bytes += len(data)
             self.transport.write(data)
 
     def _read_events(self) -> None:
@@ -313,11 +404,12 @@
             body = b"".join(self._body)
             self._body = []
             if self._is_closed_by_caller():
-                self.abort()
+                self.abort(Ender.CALLER, "closed before the request was handled")
                 return
             self.request_count += 1
             request = IncomingRequest(self, self._head, body, self._reactor.seconds())
-            self._request = request
+            self._request = self._latest = request
+            self._answer_bytes = 0
             try:
                 self._handler.handle_request(request)
             except Exception:
@@ -344,6 +436,7 @@
     def _reject(self, status: int) -> None:
         """Respond to a malformed, oversized or slow request with an error, then close."""
         self._rejected = True
+        self._record_end(Ender.PROCESS, f"rejected with {status}", self._has_further_bytes())
         self._cancel_timeout()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
@@ -371,6 +464,11 @@
         self._timeout = None
 
 
+def _count_unsent(transport: Any) -> int:
+    """Return how many bytes wait in the buffers of a transport, which keeps them once closed."""
+    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
+
+
 class CallerFactory(Factory):
     """Accepts callers' connections and keeps track of the open ones."""
 
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -520,7 +520,7 @@
                 "time_left": round(self.admission.expires_at - now, 3),
             },
         )
-        self.incoming.abort()
+        self.incoming.abort(reason)
 
     def _send_buffered(self, head: ResponseHead) -> None:
         if self.response_started:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -15,7 +15,7 @@
 from coltsfootshift.controllers.quarantine import Standing
 from coltsfootshift.gateway.beliefs import SharedBeliefs
 from coltsfootshift.gateway.budget import RetryBudget
-from coltsfootshift.gateway.callers import IncomingRequest, RequestHandler
+from coltsfootshift.gateway.callers import ConnectionEnd, IncomingRequest, RequestHandler
 from coltsfootshift.gateway.calls import (
     AttemptTerms,
     Dialect,
@@ -160,6 +160,8 @@
         self._own = InstanceId("")
         self._entries: tuple[str, ...] = (self._own,)
         self._ticked_at = reactor.seconds()
+        self._tick_delay = 0.0
+        self._stopped = False
         self._pools_checked_at = reactor.seconds()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
@@ -182,6 +184,7 @@
 
     def break_off(self) -> None:
         """End the requests in flight, so that begun responses do not look complete."""
+        self._stopped = True
         for exchange in list(self._exchanges):
             exchange.give_up(LEAVING_REASON)
 
@@ -195,6 +198,11 @@
         """Whether this entry is leaving, so that keep-alive connections are closed."""
         return self._stop_schedule is not None
 
+    @property
+    def stopped(self) -> bool:
+        """Whether the requests in flight have been ended since this process stops."""
+        return self._stopped
+
     @property
     def unfinished(self) -> int:
         """The number of requests in flight or queued."""
@@ -248,6 +256,7 @@
             logger.info("invalid request", extra={"cause": str(error), "status": error.status})
             incoming.respond(error.status, [], b"")
             return
+        incoming.request = head.request
         admission = Admission(head, incoming.arrived_at, incoming.body)
         if self._stop_schedule is not None and now > self._stop_schedule.admit_until:
             self._answer_refusal(incoming, head, NotRun(LEAVING_REASON, retry_after=0.0))
@@ -266,6 +275,35 @@
         if not self._place(exchange, now):
             self._enqueue(exchange, now)
 
+    def record_connection_end(self, end: ConnectionEnd) -> None:
+        """Count how a caller's connection ended; log it if a request lacks part of its answer.
+
+        A process that stood still first runs its periodic task and then reads what has arrived,
+        so that the delay of the last run is logged as well.
+        """
+        if not end.incomplete:
+            self.metrics.count("caller_connections_ended_idle")
+            return
+        self.metrics.count(f"caller_connections_ended_by_{end.ended_by.value}")
+        now = self.reactor.seconds()
+        request = end.request
+        logger.info(
+            "caller connection ended",
+            extra={
+                "request": "" if request is None else request.request,
+                "ended_by": end.ended_by.value,
+                "cause": end.cause,
+                "head_sent": request is not None and request.head_sent,
+                "answer_bytes": end.answer_bytes,
+                "unsent_bytes": end.unsent_bytes,
+                "unread": end.unread,
+                "connection_reused": end.reused,
+                "since_tick": round(now - self._ticked_at, 3),
+                "tick_delay": round(self._tick_delay, 3),
+                "seconds": None if request is None else round(now - request.arrived_at, 3),
+            },
+        )
+
     def reschedule(self, exchange: Exchange) -> bool:
         """Place a failed request on another endpoint, or queue it.
 
@@ -706,6 +744,7 @@
         now = self.reactor.seconds()
         delay = now - self._ticked_at - TICK_SECONDS
         self._ticked_at = now
+        self._tick_delay = delay
         self.tables.record_running(now)
         if delay <= LATE_TICK_SECONDS:
             self._check_requests()
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -52,11 +52,14 @@
 class Transport(StringTransport):
     """One end of an in-memory connection.
 
-    `aborted` is set when it is aborted; `protocol` is None once it is closed.
+    `aborted` is set when it is aborted; `protocol` is None once it is closed. `dataBuffer` holds
+    what has not been sent, as that of a connection of Twisted.
     """
 
     def __init__(self):
         super().__init__()
+        self.dataBuffer = b""
+        self.offset = self._tempDataLen = 0
         self.aborted = False
         self.protocol = None
         self.handle = _SocketHandle()
