Withdraw no answer whose head has come at its version's limit

Callers saw a begun stream reset, or a plain request sent a second time or refused: at a version's limit an attempt was withdrawn unless bytes of its body had come. A head shows that the engine has begun the request, in time, so that nothing is left to withdraw.

Evidence: test_answer_whose_head_has_come_is_not_withdrawn_at_the_limit; 3 of its 15 rows, those with a head and no body, failed on the code before. Quarantine (`withdraw`) looked at the head already.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -272,9 +272,9 @@
         self._owner.send_attempt(self, state)
 
     def withdraw_outdated(self, min_version: int, now: float) -> None:
-        """Cancel an attempt without response data if its endpoint's version is too old by now."""
+        """Cancel an attempt that is not answered yet if its endpoint's version is too old."""
         attempt = self._attempt
-        if attempt is None or attempt.body_started:
+        if attempt is None or attempt.head is not None:
             return
         version = attempt.state.record.versions.get(self.admission.head.model)
         if version is None or version >= min_version:
--- a/tests/test_gateway_versions.py
+++ b/tests/test_gateway_versions.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import msgspec
 import pytest
 from fleet_harness import Context, Observer, Stream
-from gateway_harness import GatewayHarness, VersionDecoder
+from gateway_harness import (
+    ROUTES,
+    GatewayHarness,
+    VersionDecoder,
+    make_chunk,
+    make_event,
+    make_response,
+    make_route,
+)
 from twisted.internet.task import Clock
 
 from coltsfootshift.gateway.fleet import FleetTask
+from coltsfootshift.gateway.model import RouteKind
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.table_cache import (
     Item,
@@ -533,3 +543,43 @@
     engine = harness.accept()
     harness.clock.pump([0.1] * round((published_for - 5.0) / 0.1))
     assert engine.aborted is withdrawn
+
+
+HEAD = make_response(chunked=True, headers=["X-Weight-Versions: 1"])
+EVENT = make_event(1)
+PHASES = {
+    "not begun": (b"", b""),
+    "in its head": (HEAD[:40], b""),
+    "head": (HEAD, make_chunk(EVENT)),
+    "in its first event": (HEAD + make_chunk(EVENT[:7]), make_chunk(EVENT[7:])),
+    "first event": (HEAD + make_chunk(EVENT), make_chunk(make_event(2))),
+}
+
+
+@pytest.mark.parametrize("phase", PHASES)
+@pytest.mark.parametrize(
+    ("kind", "resumable"),
+    [(RouteKind.STREAMING, True), (RouteKind.STREAMING, False), (RouteKind.IDEMPOTENT, False)],
+    ids=["resumable stream", "stream", "plain"],
+)
+def test_answer_whose_head_has_come_is_not_withdrawn_at_the_limit(kind, resumable, phase):
+    """It was broken off if its body was late, though its engine had begun it in time."""
+    harness = GatewayHarness(endpoints=0, engines=1)
+    route = make_route("own", kind, resumable=resumable, service="llm", timeout=6.0)
+    catalogue = harness.tables.catalogue
+    harness.tables.catalogue = replace(catalogue, routes={"host": (route, *ROUTES)})
+    harness.tables.wanted_versions["m"] = [WantedVersion("m", 2, 0.0)]
+    harness.clock.advance(5.0)
+    harness.confirm()
+    caller = harness.send_request("own", headers=MODEL_HEADERS)
+    engine = harness.accept()
+    sent, rest = PHASES[phase]
+    engine.protocol.dataReceived(sent)
+    for _ in range(70):
+        harness.clock.advance(0.02)
+        harness.confirm()
+    begun = sent.startswith(HEAD)
+    assert engine.aborted is not begun
+    if begun:
+        engine.protocol.dataReceived(rest + make_chunk(b""))
+        assert EVENT in caller.value().replace(b"\r\n9\r\n", b"") and not caller.aborted
