Let callers receive the whole events of an answer that is broken off

Callers of a stream that its endpoint spoilt or broke off got a reset before any byte, though whole events had come: what an endpoint sends in one read with the fault, or before it closes, was still in the buffers of the caller's connection when it was aborted, which drops them.

The connection is now reset once the caller's host has acknowledged what was written, or 0.25 s later: a reset marks the end for every framing (without chunks a plain close would look complete), and a caller that does not read holds nothing up. When the process stops it is reset at once, as before.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import fcntl
+import struct
+import termios
 from abc import ABC, abstractmethod
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -30,6 +33,10 @@
 logger = get_logger("gateway.callers")
 
 MAX_CAUSE_CHARACTERS = 200
+# Before a connection is reset, its caller is given this long to receive what was written. The end
+# of an answer whose time is over must reach it within half a second.
+MAX_FLUSH_SECONDS = 0.25
+FLUSH_CHECK_SECONDS = 0.01
 
 _REASON_PHRASES = {
     200: b"OK",
@@ -143,14 +150,14 @@
         if self.on_disconnect is not None:
             self.on_disconnect()
         if self.head_sent:
-            self.abort("its handling failed")
+            self.break_off("its handling failed")
         else:
             self.respond(502, [], b"")
 
-    def abort(self, cause: str) -> None:
-        """Abort the connection, so that the caller cannot treat the response as complete."""
+    def break_off(self, cause: str) -> None:
+        """Reset the connection, so that the caller cannot treat the response as complete."""
         self.finished = True
-        self._connection.abort(Ender.PROCESS, cause)
+        self._connection.break_off(cause)
 
 
 class RequestHandler(ABC):
@@ -297,6 +304,26 @@
         if self.open:
             self.transport.abortConnection()
 
+    def break_off(self, cause: str) -> None:
+        """Abort the connection once the caller has received what was written of the response.
+
+        A caller that does not receive it within `MAX_FLUSH_SECONDS` loses the rest.
+        """
+        if self.open and not self._closing:
+            self._record_end(Ender.PROCESS, cause, self._has_further_bytes())
+            self._closing = True
+            self._abort_when_received(self._reactor.seconds() + MAX_FLUSH_SECONDS)
+        self._request = None
+
+    def _abort_when_received(self, latest: float) -> None:
+        if not self.open:
+            return
+        late = self._handler.stopped or self._reactor.seconds() >= latest
+        if late or not (_count_unsent(self.transport) or _count_unacknowledged(self.transport)):
+            self.transport.abortConnection()
+            return
+        self._reactor.callLater(FLUSH_CHECK_SECONDS, self._abort_when_received, latest)
+
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or arriving on it."""
         if self.open and self._is_idle():
@@ -469,6 +496,12 @@
     return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
 
 
+def _count_unacknowledged(transport: Any) -> int:
+    """Return how many bytes in the buffer of the socket the other end has not acknowledged."""
+    data = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, struct.pack("i", 0))
+    return int(struct.unpack("i", data)[0])
+
+
 class CallerFactory(Factory):
     """Accepts callers' connections and keeps track of the open ones."""
 
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -508,7 +508,7 @@
         )
 
     def _break_off(self, reason: str) -> None:
-        """Close the caller's connection, so that a begun response does not look complete."""
+        """Reset the caller's connection, so that a begun response does not look complete."""
         now = self._owner.reactor.seconds()
         logger.info(
             "answer broken off",
@@ -520,7 +520,7 @@
                 "time_left": round(self.admission.expires_at - now, 3),
             },
         )
-        self.incoming.abort(reason)
+        self.incoming.break_off(reason)
 
     def _send_buffered(self, head: ResponseHead) -> None:
         if self.response_started:
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from random import Random
 
 from coltsfootshift_platform.dialect import PlatformDialect
@@ -36,13 +37,20 @@
 
 
 class _SocketHandle:
-    """A socket whose `recv` reports whether the other end has closed the connection."""
+    """A socket whose `recv` reports whether the other end has closed the connection.
+
+    All bytes that were written to it have been acknowledged.
+    """
 
     closed = False
+    _unused = socket.socket()
 
     def setsockopt(self, *args):
         pass
 
+    def fileno(self):
+        return self._unused.fileno()
+
     def recv(self, size, flags):
         if self.closed:
             return b""
--- /dev/null
+++ b/tests/test_gateway_broken_off.py
@@ -0,0 +1,151 @@
+"""Begun answers that are broken off: callers get the whole events that came before."""
+
+from __future__ import annotations
+
+import socket
+import struct
+import time
+from dataclasses import replace
+
+import pytest
+from gateway_harness import (
+    KEY,
+    ROUTES,
+    GatewayHarness,
+    make_chunk,
+    make_event,
+    make_response,
+)
+from twisted.internet.epollreactor import EPollReactor
+
+from coltsfootshift.gateway import callers
+from coltsfootshift.ids import InstanceId
+from coltsfootshift.settings import Address
+
+HEAD = make_response(chunked=True)
+SHORT_EVENTS = [make_event(number) for number in (1, 2, 3)]
+LONG_EVENTS = [b"id: %d\ndata: %s\n\n" % (number, b"x" * 10_000) for number in (1, 2, 3)]
+MAX_SECONDS = 5.0
+
+
+class LoopbackHarness(GatewayHarness):
+    """A gateway with an endpoint and callers on the loopback interface."""
+
+    def __init__(self):
+        super().__init__(endpoints=1, clock=EPollReactor())
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        record = self.tables.endpoints[InstanceId("e-0")]
+        address = Address(*self._listener.getsockname())
+        self.tables.endpoints[InstanceId("e-0")] = replace(record, address=address)
+        routes = tuple(replace(route, timeout=MAX_SECONDS) for route in ROUTES)
+        self.tables.catalogue = replace(self.tables.catalogue, routes={"host": routes})
+        self.gateway.refresh()
+        self.port = self.clock.listenTCP(0, self.factory, interface="127.0.0.1")
+
+    def iterate(self, seconds):
+        """Run the reactor for `seconds`."""
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            self.clock.iterate(0.005)
+
+    def call(self, protocol="HTTP/1.1", receive_bytes=None):
+        """Send a request for a stream that may not be repeated; return both ends of it."""
+        caller = socket.socket()
+        if receive_bytes is not None:
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
+        caller.connect(("127.0.0.1", self.port.getHost().port))
+        lines = [f"POST /once/x {protocol}", "Host: host", "X-Attempt-Id: r-1"]
+        lines += [f"X-Api-Key: {KEY}", "Content-Length: 0", "", ""]
+        caller.sendall("\r\n".join(lines).encode())
+        self.iterate(0.1)
+        self._listener.settimeout(MAX_SECONDS)
+        endpoint, _ = self._listener.accept()
+        self.iterate(0.1)
+        assert b"r-1" in endpoint.recv(65536)
+        return caller, endpoint
+
+    def read(self, caller):
+        """Return what a caller receives, and the error with which its connection ends."""
+        caller.setblocking(False)
+        received = b""
+        until = time.monotonic() + MAX_SECONDS
+        while time.monotonic() < until:
+            self.clock.iterate(0.005)
+            try:
+                data = caller.recv(65536)
+            except BlockingIOError:
+                continue
+            except OSError as error:
+                return received, type(error)
+            if not data:
+                return received, None
+            received += data
+        raise AssertionError(f"the connection has not ended, after {received!r}")
+
+
+@pytest.fixture
+def harness():
+    harness = LoopbackHarness()
+    yield harness
+    harness.gateway._loop.stop()
+    harness.port.stopListening()
+    harness.clock.iterate(0)
+
+
+def close(endpoint):
+    endpoint.close()
+
+
+def reset(endpoint):
+    endpoint.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    endpoint.close()
+
+
+def keep(endpoint):
+    pass
+
+
+@pytest.mark.parametrize(
+    ("events", "receive_bytes"),
+    [(SHORT_EVENTS, None), (LONG_EVENTS, 4096)],
+    ids=["short", "long, slow caller"],
+)
+@pytest.mark.parametrize("protocol", ["HTTP/1.1", "HTTP/1.0"])
+@pytest.mark.parametrize(
+    ("rest", "end"),
+    [(b"no chunk\r\n", keep), (b"", close), (b"9\r\nid: 4", close), (b"", reset)],
+    ids=["no chunk", "closed", "closed in a chunk", "reset"],
+)
+def test_whole_events_before_a_fault_reach_the_caller(
+    harness, rest, end, protocol, events, receive_bytes, monkeypatch
+):
+    """They were dropped with the connection if they came in one read with the fault."""
+    monkeypatch.setattr(callers, "MAX_FLUSH_SECONDS", MAX_SECONDS)  # this process may stand still
+    caller, endpoint = harness.call(protocol, receive_bytes)
+    endpoint.sendall(HEAD + b"".join(make_chunk(event) for event in events) + rest)
+    end(endpoint)
+    received, error = harness.read(caller)
+    assert [event for event in events if event in received] == events
+    assert error is ConnectionResetError and not received.endswith(b"0\r\n\r\n")
+    assert b"id: 4" not in received
+
+
+def test_caller_that_does_not_read_is_not_waited_for(harness):
+    """What it has not read is dropped after a limited time."""
+    caller, endpoint = harness.call(receive_bytes=4096)
+    (connection,) = harness.factory._connections
+    endpoint.sendall(HEAD)
+    number = 0
+    while not connection.transport.producerPaused:
+        number += 1
+        endpoint.sendall(make_chunk(b"id: %d\ndata: %s\n\n" % (number, b"x" * 30_000)))
+        harness.iterate(0.005)
+    (exchange,) = harness.gateway._exchanges
+    exchange.give_up("a fault")
+    started = time.monotonic()
+    while connection.open and time.monotonic() < started + MAX_SECONDS:
+        harness.iterate(0.02)
+    assert time.monotonic() - started < MAX_SECONDS / 2
+    with pytest.raises(ConnectionResetError):
+        while caller.recv(65536):
+            pass
