Let what was passed on wait as long as it can still be finished

What callers saw: an engine went under load, and the begun answers of its streams were broken off with 1.3 to 4.8 s left, for want of a place that came free 0.07 s later. Requests that it had not begun got 502 in the same way.

Cause: a retry was queued as late, and a late request may wait until 1 s after its arrival. A request that was older when its engine went found its wait over before it began.

Now: until when a request may be sent is decided where it is queued, and is one field (`latest`); `offer`, `expire` and the choice of avoided endpoints use it. One that was passed on and may run again waits until its end (deadline, time-out of the route, stop of the entry) less the expected rest of the answer in a full batch. It comes before new requests of its priority, behind more urgent ones, and counts as any other. It holds up none beside places that it can't take (another version, endpoints that were tried). It is ended when endpoints may end under it, as is found out 0.1 s after a loss, and when its version is gone. A retry is still taken from the budget when it is queued: what has a place in the queue may be sent when its turn comes.

A late request that has not run waits as before, and what may not run again, or cannot be finished, is ended at once as before.

The replay took a 502 or 504 for a complete answer; it does not any more.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -213,6 +213,15 @@
         """Whether part of the response has been sent to the caller."""
         return self.incoming.head_sent
 
+    @property
+    def rest(self) -> WorkSize:
+        """The expected size of what is left to run, if its answer goes on where it broke off."""
+        engine = self.service.engine
+        if engine is None:
+            return self.size
+        passed = engine.stride * self._event_buffer.event_count
+        return WorkSize(self.size.prompt, max(0, self.size.answer - passed))
+
     def start_attempt(self, state: EndpointState) -> ResponseReceiver:
         """Start an attempt at an endpoint; the owner then calls `set_outbound`."""
         now = self._owner.reactor.seconds()
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -172,6 +172,17 @@
         running = min(self.estimate_load(now) + 1, self.slots)
         return start + size.answer * (self.spec.step + self.spec.step_per_request * running)
 
+    def predict_shortest(self, size: WorkSize) -> float:
+        """Return the expected seconds from sending to the end if there is a place at once.
+
+        The endpoint is taken to be busy with other requests, but to have read their prompts.
+        """
+        if self.spec is None:
+            return self._work_seconds
+        step = self.spec.step + self.spec.step_per_request * self.spec.slots
+        tokens = max(self.spec.stride, size.answer)
+        return size.prompt / self.spec.prefill_rate + tokens * step
+
     def record_sent(self, request: RequestId, size: WorkSize, now: float) -> None:
         """Count a request that was sent to the endpoint."""
         self._in_flight[request] = _InFlightAttempt(size, now)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -48,12 +48,7 @@
     WITHDRAWAL_MARGIN_SECONDS,
     find_first_limit,
 )
-from coltsfootshift.gateway.waiting import (
-    MAX_LATE_WAIT_SECONDS,
-    QueuedRequest,
-    ServiceQueue,
-    draw_retry_after,
-)
+from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, Turn, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Message
@@ -70,6 +65,7 @@
 RETRY_DEADLINE_RATIO = 0.9
 CONNECTION_SHARE = 0.8  # of an endpoint's connections; the rest is for undiscovered entries
 STATUS_UNAVAILABLE = 503
+MAX_LATE_WAIT_SECONDS = 1.0  # maximum wait of a late request that has not run, from its arrival
 # A request that reached no endpoint waits for up to this share of its time, and this much longer
 # than another late one: endpoints that fell silent together are soon back.
 UNREACHED_WAIT_SHARE = 1 / 3
@@ -263,6 +259,7 @@
         exchange = Exchange(self, incoming, admission)
         self._exchanges.add(exchange)
         self._budget.record_request(exchange.service.name, now)
+        self._dispatch_queue(exchange.service.name, Turn.INTERRUPTED)
         if not self._place(exchange, now):
             self._enqueue(exchange, now)
 
@@ -278,6 +275,8 @@
             self.metrics.count("retries_of_suspects")
             return False
         states = self._list_candidates(exchange, now)
+        if not states and self._find_turn(exchange) is Turn.INTERRUPTED:
+            states = self._list_loading(exchange, now)
         if not states or self._is_unreachable(exchange, states, now):
             return False
         # A request that has reached no endpoint is not sent again, but for the first time.
@@ -377,9 +376,15 @@
         self._tell(self.beliefs.record_survival(exchange.admission.suspects, begun_at, now))
 
     def end_quarantined(self) -> None:
-        """End the requests in quarantine that no endpoint has begun, as far as known."""
+        """End the requests in quarantine that no endpoint has begun, as far as known.
+
+        Those that wait to run again are ended as soon as endpoints may end under them.
+        """
         now = self.reactor.seconds()
         for exchange in list(self._exchanges):
+            if exchange.queue_entry is not None and self._may_end_endpoints(exchange, now):
+                exchange.refuse(self._crash_check.make_refusal(exchange.admission, now))
+                continue
             standing = self.beliefs.crashes.find_standing(exchange.admission.suspects, now)
             if standing is Standing.QUARANTINED:
                 exchange.withdraw(self._crash_check.make_refusal(exchange.admission, now))
@@ -512,7 +517,13 @@
         return now + state.predict_start(exchange.size, now) < withdrawn_at
 
     def _list_loading(self, exchange: Exchange, now: float) -> list[EndpointState]:
-        """Return the engines that are loading; they serve again within a second."""
+        """Return the engines that are loading; they serve again within a second.
+
+        None of them loads the version of a begun answer if a newer one has been published.
+        """
+        wanted = self.tables.wanted_versions.get(exchange.admission.head.model, [])
+        if exchange.version is not None and wanted and wanted[-1].version > exchange.version:
+            return []
         states = self._by_service.get(exchange.service.name, [])
         if self._stop_schedule is not None:
             states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
@@ -527,7 +538,7 @@
     ) -> list[EndpointState]:
         in_time = []
         for state in states:
-            if schedule.allows_start(state.predict_duration(exchange.size, now), now):
+            if schedule.allows_start(_predict_duration(exchange, state, now), now):
                 in_time.append(state)
         return in_time
 
@@ -560,7 +571,7 @@
 
     def _place(self, exchange: Exchange, now: float) -> bool:
         states = self._list_candidates(exchange, now)
-        state = self._choose(exchange, states, self._list_avoided(exchange, states), now)
+        state = self._choose(exchange, states, self._list_avoided(exchange, states, now), now)
         if state is None:
             return False
         self._send(exchange, state, now)
@@ -574,7 +585,7 @@
         now: float,
     ) -> EndpointState | None:
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
-        late = self._is_likely_retry(exchange)
+        late = self._is_likely_retry(exchange) and self._find_turn(exchange) is not Turn.INTERRUPTED
         return self._placement.choose(open_states, exchange.size, avoided, late, now)
 
     def _may_end_endpoints(self, exchange: Exchange, now: float) -> bool:
@@ -584,10 +595,14 @@
             return True
         return standing is Standing.SUSPECT and exchange.possible_runs > 0
 
-    def _list_avoided(self, exchange: Exchange, states: list[EndpointState]) -> set[InstanceId]:
+    def _list_avoided(
+        self, exchange: Exchange, states: list[EndpointState], now: float
+    ) -> set[InstanceId]:
         """Return the endpoints that were tried, or none if no other takes the request in time."""
-        admission = exchange.admission
-        latest = min(admission.expires_at, admission.arrived_at + MAX_LATE_WAIT_SECONDS)
+        if not exchange.tried:
+            return set()
+        queued = exchange.queue_entry
+        latest = self._find_latest(exchange, states, now) if queued is None else queued.latest
         for state in states:
             if state.record.endpoint not in exchange.tried and state.paused_until <= latest:
                 return exchange.tried
@@ -641,7 +656,7 @@
         return min(admission.expires_at, self._stop_schedule.answer_by)
 
     def _enqueue(self, exchange: Exchange, now: float) -> None:
-        admission, route = exchange.admission, exchange.route
+        admission = exchange.admission
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
         states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
         if not states and self._stop_schedule is not None:
@@ -652,14 +667,12 @@
             retry_after = draw_retry_after(left, float("inf"), self._rng)
             exchange.refuse(NotRun("no endpoint serves the request", retry_after=retry_after))
             return
-        start = min(state.predict_start(exchange.size, now) for state in states)
-        send_by = (
-            admission.arrived_at + route.latency_objective - min(start, route.latency_objective / 2)
-        )
-        late = self._is_likely_retry(exchange) or exchange.send_count > 0
-        waits_from = admission.arrived_at + self._find_extra_wait(exchange)
         queued = QueuedRequest(
-            exchange, admission.priority, waits_from, send_by, admission.expires_at, late
+            exchange,
+            admission.priority,
+            self._find_latest(exchange, states, now),
+            admission.expires_at,
+            self._find_turn(exchange),
         )
         refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now)
         if refusal is not None:
@@ -667,6 +680,31 @@
             return
         exchange.queue_entry = queued
 
+    def _find_turn(self, exchange: Exchange) -> Turn:
+        if exchange.possible_runs > 0:
+            return Turn.INTERRUPTED
+        if exchange.send_count > 0 or self._is_likely_retry(exchange):
+            return Turn.LATE
+        return Turn.NEW
+
+    def _find_latest(self, exchange: Exchange, states: list[EndpointState], now: float) -> float:
+        """Return the latest time to send a request that waits, in seconds of this clock.
+
+        A new one can then meet its latency objective. A late one gives its caller time to return.
+        One that was passed on and may run again can still be finished: what it has waited for is
+        lost otherwise, and its caller may have part of the answer.
+        """
+        admission, turn = exchange.admission, self._find_turn(exchange)
+        if turn is Turn.INTERRUPTED:
+            durations = [state.predict_shortest(exchange.rest) for state in states]
+            return self._find_end(admission) - min(durations, default=0.0)
+        if turn is Turn.LATE:
+            longest = MAX_LATE_WAIT_SECONDS + self._find_extra_wait(exchange)
+            return min(admission.expires_at, admission.arrived_at + longest)
+        objective = exchange.route.latency_objective
+        start = min(state.predict_start(exchange.size, now) for state in states)
+        return admission.arrived_at + objective - min(start, objective / 2)
+
     def _find_extra_wait(self, exchange: Exchange) -> float:
         """Return how much longer a request may wait than another late one, in seconds."""
         if not exchange.send_count or exchange.arrivals:
@@ -680,8 +718,7 @@
         """Return whether a request has reached none of the endpoints for as long as it may wait."""
         if exchange.arrivals or not all(state.ejected for state in states):
             return False
-        latest = exchange.admission.arrived_at + MAX_LATE_WAIT_SECONDS
-        return now > latest + self._find_extra_wait(exchange)
+        return now > self._find_latest(exchange, states, now)
 
     def _is_likely_retry(self, exchange: Exchange) -> bool:
         """Return whether the request is probably a retry by its caller.
@@ -729,6 +766,7 @@
                 queued.item.refuse(refusal)
         if self._stop_schedule is not None:
             self._refuse_outlasting(self._stop_schedule, now)
+        self._end_stranded(now)
         for exchange in list(self._exchanges):
             exchange.check_stall(now)
         self._withdraw_outdated(now)
@@ -770,24 +808,50 @@
             if exchange.queue_entry is None:
                 continue
             states = self._by_service.get(exchange.service.name, [])
-            durations = (state.predict_duration(exchange.size, now) for state in states)
+            durations = (_predict_duration(exchange, state, now) for state in states)
             if not any(schedule.allows_start(duration, now) for duration in durations):
                 exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
 
+    def _end_stranded(self, now: float) -> None:
+        """End the waiting answers that nothing can go on with, as their version is gone."""
+        for exchange in list(self._exchanges):
+            if exchange.queue_entry is None or exchange.version is None:
+                continue
+            if exchange.service.engine is None:
+                continue
+            if not self._list_candidates(exchange, now) and not self._list_loading(exchange, now):
+                reason = f"no endpoint of version {exchange.version} is left"
+                exchange.refuse(NotRun(reason, retry_after=0.0))
+
     def _dispatch_all_queues(self) -> None:
         for name in self._queues:
             self._dispatch_queue(name)
 
-    def _dispatch_queue(self, name: ServiceName) -> None:
-        """Send queued requests while endpoints have free slots."""
+    def _dispatch_queue(self, name: ServiceName, last: Turn = Turn.LATE) -> None:
+        """Send queued requests while endpoints have free slots, up to the turn `last`.
+
+        An interrupted request that avoids endpoints, or needs a version, holds up no others.
+        """
         queue = self._queues.get(name)
+        if queue is None:
+            return
         now = self.reactor.seconds()
-        while queue is not None:
-            queued = queue.peek()
-            if queued is None or not self._place(queued.item, now):
+        passed = None
+        while (queued := queue.peek(passed)) is not None and queued.turn <= last:
+            if self._place(queued.item, now):
+                queued.open = False
+                queued.item.queue_entry = None
+            elif queued.turn is Turn.INTERRUPTED and self._has_place(name, now):
+                passed = queued
+            else:
                 return
-            queued.open = False
-            queued.item.queue_entry = None
+
+    def _has_place(self, name: ServiceName, now: float) -> bool:
+        """Return whether any endpoint of a service takes a request now."""
+        for state in self._by_service.get(name, []):
+            if state.has_capacity(now) and not self._pools[state.record.endpoint].full:
+                return True
+        return False
 
     def _count_waiting(self) -> float:
         return float(sum(len(queue) for queue in self._queues.values()))
@@ -830,3 +894,13 @@
     def _round_age(self, table: Table, now: float) -> float | None:
         age = self.tables.measure_age(table, now)
         return round(age, 2) if isfinite(age) else None
+
+
+def _predict_duration(exchange: Exchange, state: EndpointState, now: float) -> float:
+    """Return the expected seconds from sending to the end of a response.
+
+    One that was passed on and waits to run again gets a place before it is sent.
+    """
+    if exchange.possible_runs > 0:
+        return state.predict_shortest(exchange.rest)
+    return state.predict_duration(exchange.size, now)
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -5,14 +5,14 @@
 import heapq
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
+from enum import IntEnum
 from random import Random
 from typing import Any
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "draw_retry_after"]
+__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "Turn", "draw_retry_after"]
 
-MAX_LATE_WAIT_SECONDS = 1.0  # maximum wait of a request that is already late
 # Overload lasts longer than one slot takes to become free; an earlier retry would be refused too.
 MIN_RETRY_AFTER_SECONDS = 1.0
 RETRY_AFTER_JITTER = 0.5  # random share added, so that callers do not retry together
@@ -20,22 +20,39 @@
 MAX_RETRY_AFTER_SHARE = 1 / 3
 
 
+class Turn(IntEnum):
+    """What a request waits for; of the same priority, a lower one is sent first.
+
+    `INTERRUPTED` is for a request that may have run and may run again: its caller has waited for an
+    answer, or has part of it. `NEW` can still meet its latency objective. `LATE` is for a retry, by
+    this entry or by the caller, of what has not run. It is sent after the others of all priorities.
+    """
+
+    INTERRUPTED = 0
+    NEW = 1
+    LATE = 2
+
+
 @dataclass(slots=True)
 class QueuedRequest:
     """A queued request.
 
-    `send_by` is the latest time to send it so that it meets its latency objective. `late` is set
-    for a retry by this entry or by the caller, which cannot meet it. Times are in seconds of the
-    same clock.
+    `latest` is the latest time to send it. Times are in seconds of the same clock. `sequence` is
+    set by the queue.
     """
 
     item: Any
     priority: int
-    arrived_at: float
-    send_by: float
+    latest: float
     expires_at: float
-    late: bool
+    turn: Turn
     open: bool = True
+    sequence: int = 0
+
+    @property
+    def key(self) -> tuple[bool, int, Turn, float]:
+        """What the order of the queue follows."""
+        return (self.turn is Turn.LATE, self.priority, self.turn, self.latest)
 
 
 class SlotForecast:
@@ -74,16 +91,17 @@
 
 
 class ServiceQueue:
-    """The queued requests of one service, ordered by lateness, priority and `send_by`.
+    """The queued requests of one service, ordered by lateness, priority, turn and `latest`.
 
-    Under sustained overload, a request that cannot be sent by its `send_by` time is refused on
-    arrival. The queue therefore holds only requests that can still meet their objective, and the
-    endpoints spend their capacity on those. Late requests are queued behind all others.
+    Under sustained overload, a request that cannot be sent by its `latest` time is refused on
+    arrival. The queue therefore holds only requests that can still meet their objective, or be
+    finished, and the endpoints spend their capacity on those. Late requests are queued behind all
+    others.
     """
 
     def __init__(self, rng: Random) -> None:
         self._rng = rng
-        self._heap: list[tuple[bool, int, float, int, QueuedRequest]] = []
+        self._heap: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
         self._sequence = 0
 
     def __len__(self) -> int:
@@ -93,16 +111,13 @@
         """Queue a request, or return why it is refused."""
         ahead = self._count_ahead(request)
         wait = slots.find_wait(ahead + 1)
-        latest = request.send_by
-        if request.late:
-            latest = min(request.expires_at, request.arrived_at + MAX_LATE_WAIT_SECONDS)
-        if now + wait > latest:
+        if now + wait > request.latest:
             reason = f"no place in time: {ahead} ahead, a place in {wait:.3f} s"
             expected_wait = slots.find_wait(len(self._heap))
             return self._make_refusal(reason, request, expected_wait, now)
         self._sequence += 1
-        row = (request.late, request.priority, request.send_by, self._sequence, request)
-        heapq.heappush(self._heap, row)
+        request.sequence = self._sequence
+        heapq.heappush(self._heap, (request.key, request.sequence, request))
         return None
 
     def expire(
@@ -115,11 +130,10 @@
         kept = []
         for row in self._heap:
             request = row[-1]
-            latest = request.arrived_at + MAX_LATE_WAIT_SECONDS if request.late else request.send_by
             if not request.open:
                 continue
             pause = estimate_pause(request.item) if estimate_pause is not None else 0.0
-            if now + pause <= latest:
+            if now + pause <= request.latest:
                 kept.append(row)
                 continue
             request.open = False
@@ -127,19 +141,22 @@
         heapq.heapify(kept)
         self._heap = kept
 
-    def peek(self) -> QueuedRequest | None:
-        """Return the next request without removing it, or None if the queue is empty."""
+    def peek(self, after: QueuedRequest | None = None) -> QueuedRequest | None:
+        """Return the next request, or the next one `after` another; None if there is none."""
         while self._heap and not self._heap[0][-1].open:
             heapq.heappop(self._heap)
-        return self._heap[0][-1] if self._heap else None
+        if after is None:
+            return self._heap[0][-1] if self._heap else None
+        passed = (after.key, after.sequence)
+        rows = [row for row in self._heap if row[-1].open and row[:2] > passed]
+        return min(rows)[-1] if rows else None
 
     def pop(self) -> None:
         """Remove the next request."""
         heapq.heappop(self._heap)[-1].open = False
 
     def _count_ahead(self, request: QueuedRequest) -> int:
-        key = (request.late, request.priority, request.send_by)
-        return sum(1 for row in self._heap if row[-1].open and row[:3] <= key)
+        return sum(1 for row in self._heap if row[-1].open and row[0] <= request.key)
 
     def _make_refusal(
         self, reason: str, request: QueuedRequest, expected_wait: float, now: float
--- a/tests/engine_model.py
+++ b/tests/engine_model.py
@@ -12,8 +12,13 @@
 from random import Random
 
 from gateway_harness import ENGINE_SPEC, GatewayHarness, Transport, make_chunk, make_response
+from twisted.internet.error import ConnectionDone, ConnectionRefusedError
 from twisted.internet.testing import MemoryReactorClock
+from twisted.python.failure import Failure
 
+from coltsfootshift.ids import InstanceId
+
+FIRST_PORT = 180
 MAX_QUEUE_LENGTH = 32
 CHUNK_TOKENS = 2048
 STEP_SECONDS = 0.002
@@ -21,16 +26,21 @@
 GAP_OBJECTIVE_SECONDS = 0.4
 LATE_BENEFIT = 0.25
 DEADLINE_SECONDS = 6.0
+RESTART_SECONDS = 2.0
 
 
 @dataclass
 class Job:
-    """An attempt of a request at an engine; `prompt_left` and `answer_left` are in tokens."""
+    """An attempt of a request at an engine; `prompt_left` and `answer_left` are in tokens.
+
+    `number` is that of the latest event, and at first of the one after which the answer goes on.
+    """
 
     request: str
     transport: Transport
     prompt_left: int
     answer_left: int
+    number: int = 0
     response_started: bool = False
 
 
@@ -46,7 +56,6 @@
         self.running: list[Job] = []
         self.waiting: deque[Job] = deque()
         self.pass_ends_at: float | None = None
-        self.events = 0
 
     def submit(self, job: Job, now: float) -> None:
         if len(self.waiting) >= MAX_QUEUE_LENGTH:
@@ -97,8 +106,8 @@
                 job.response_started = True
                 load = f"X-Engine-Load: {len(self.running)},{len(self.waiting)},{ENGINE_SPEC.slots}"
                 data = make_response(chunked=True, request=job.request, headers=(load,))
-            self.events += 1
-            data += make_chunk(b"id: %d\ndata: x\n\n" % self.events)
+            job.number += 1
+            data += make_chunk(b"id: %d\ndata: x\n\n" % job.number)
             job.answer_left -= ENGINE_SPEC.stride
             if job.answer_left <= 0:
                 data += make_chunk(b"")
@@ -112,7 +121,9 @@
     """A caller's request and its result.
 
     Times are in seconds of the simulated clock. `max_gap` is the longest time in seconds between
-    two parts of the response. A refused request is retried once, at `retry_at`.
+    two parts of the response. A refused request is retried once, at `retry_at`. `name` is the id
+    of the latest try. `begun` is set if part of an answer had arrived when its engine ended, and
+    `interrupted` if the engine that had the request has ended.
     """
 
     sent_at: float
@@ -127,15 +138,23 @@
     complete: bool = False
     retry_at: float | None = None
     retried: bool = False
+    name: str = ""
+    begun: bool = False
+    interrupted: bool = False
 
 
 @dataclass
 class LoadReplay:
-    """Simulates callers, gateways and engines on one clock."""
+    """Simulates callers, gateways and engines on one clock.
+
+    At each of the times `losses`, in seconds, the engine with the most requests ends, and another
+    starts `RESTART_SECONDS` later.
+    """
 
     gateways: int = 4
     engines: int = 6
     seed: int = 1
+    losses: tuple[float, ...] = ()
     requests: list[ReplayedRequest] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -150,6 +169,9 @@
             self.harnesses.append(harness)
         self._dial_count = 0
         self._connections: list[tuple[Transport, int]] = []
+        self._losses = deque(self.losses)
+        self._starts: deque[float] = deque()
+        self._ended: set[int] = set()
 
     def run(self, seconds: float, rate: float) -> float:
         """Send requests at random for `seconds`, `rate` per second on average, and let them end.
@@ -165,6 +187,13 @@
             if int(now) != int(now - STEP_SECONDS):
                 for harness in self.harnesses:
                     harness.confirm()
+            if self._losses and now >= self._losses[0]:
+                self._losses.popleft()
+                self._starts.append(now + RESTART_SECONDS)
+                self._end_engine()
+            if self._starts and now >= self._starts[0]:
+                self._starts.popleft()
+                self._start_engine()
             for engine in self.model_engines:
                 engine.advance(now)
             self._deliver_attempts(now)
@@ -190,6 +219,30 @@
             earned += 1.0 if in_time else LATE_BENEFIT
         return earned / len(self.requests)
 
+    def _end_engine(self) -> None:
+        """End the engine with the most requests; its connections close and its record goes."""
+        live = [engine for engine in self.model_engines if engine.number not in self._ended]
+        engine = max(live, key=lambda item: len(item.running) + len(item.waiting))
+        self._ended.add(engine.number)
+        jobs = {job.request for job in [*engine.running, *engine.waiting]}
+        for request in self.requests:
+            if request.name in jobs and not request.ended:
+                request.interrupted, request.begun = True, request.first_at is not None
+        engine.running, engine.waiting, engine.pass_ends_at = [], deque(), None
+        for transport, number in self._connections:
+            if number == engine.number and transport.protocol is not None:
+                transport.disconnect(ConnectionDone())
+        for harness in self.harnesses:
+            del harness.tables.endpoints[InstanceId(f"m-{engine.number}")]
+            harness.gateway.refresh()
+
+    def _start_engine(self) -> None:
+        number = len(self.model_engines)
+        self.model_engines.append(ModelEngine(number))
+        for harness in self.harnesses:
+            harness.add_endpoint(f"m-{number}", "llm", FIRST_PORT + number, {"m": 1})
+            harness.gateway.refresh()
+
     def _send_new_request(self, now: float) -> None:
         prompt = int(min(3500, self.rng.lognormvariate(6.6, 0.7)))
         answer = int(min(260, 5 + self.rng.expovariate(1 / 90)))
@@ -204,21 +257,25 @@
             f"X-Token-Counts: {request.prompt_tokens},{request.answer_tokens}",
             f"X-Deadline-Ms: {remaining_ms}",
         )
-        name = f"r-{len(self.requests)}-{self.rng.random()}"
+        request.name = f"r-{len(self.requests)}-{self.rng.random()}"
         harness = self.harnesses[request.gateway]
-        request.caller = harness.send_request("model", headers=headers, request=name)
+        request.caller = harness.send_request("model", headers=headers, request=request.name)
 
     def _deliver_attempts(self, now: float) -> None:
         """Accept new connections of the gateways and pass their requests to the engines."""
         while self._dial_count < len(self.clock.tcpClients):
             _, port, factory = self.clock.tcpClients[self._dial_count][:3]
+            connector = self.clock.connectors[self._dial_count]
             self._dial_count += 1
+            if port - FIRST_PORT in self._ended:
+                factory.clientConnectionFailed(connector, Failure(ConnectionRefusedError()))
+                continue
             transport = Transport()
             transport.protocol = factory.buildProtocol(None)
             transport.protocol.makeConnection(transport)
-            self._connections.append((transport, port - 180))
+            self._connections.append((transport, port - FIRST_PORT))
         self._connections = [row for row in self._connections if row[0].protocol is not None]
-        for transport, number in self._connections:
+        for transport, engine in self._connections:
             if not transport.value():
                 continue
             fields = {}
@@ -226,8 +283,10 @@
                 name, _, value = line.partition(": ")
                 fields[name.lower()] = value
             prompt, answer = fields["x-token-counts"].split(",")
-            job = Job(fields["x-attempt-id"], transport, int(prompt), int(answer))
-            self.model_engines[number].submit(job, now)
+            number = int(fields.get("last-event-id", 0))
+            left = max(1, int(answer) - number * ENGINE_SPEC.stride)
+            job = Job(fields["x-attempt-id"], transport, int(prompt), left, number)
+            self.model_engines[engine].submit(job, now)
 
     def _receive_responses(self, now: float) -> None:
         """Record what callers have received, and retry refused requests that are due."""
@@ -241,6 +300,9 @@
             if data.startswith(b"HTTP/1.1 503"):
                 self._record_refusal(request, data, now)
                 continue
+            if data.startswith(b"HTTP/1.1 5"):
+                request.ended = True
+                continue
             if request.first_at is None:
                 request.first_at = now
             elif request.last_at:
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -10,12 +10,7 @@
 
 from coltsfootshift.gateway.budget import RetryBudget
 from coltsfootshift.gateway.events import EventStreamBuffer
-from coltsfootshift.gateway.waiting import (
-    MAX_LATE_WAIT_SECONDS,
-    QueuedRequest,
-    ServiceQueue,
-    SlotForecast,
-)
+from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, SlotForecast, Turn
 from coltsfootshift.ids import ServiceName
 from coltsfootshift.outcomes import NotRun
 
@@ -67,20 +62,23 @@
     assert spent <= ALLOWANCE
 
 
-def make_queued(name, priority=1, send_by=1.0, late=False, arrived_at=0.0):
-    return QueuedRequest(name, priority, arrived_at, send_by, 6.0, late)
+def make_queued(name, priority=1, latest=1.0, turn=Turn.NEW):
+    return QueuedRequest(name, priority, latest, 6.0, turn)
 
 
 @pytest.mark.parametrize(
     ("queued", "offered", "refused"),
     [
-        (0, make_queued("x", send_by=0.3), False),
-        (0, make_queued("x", send_by=0.05), True),
-        (3, make_queued("x", send_by=0.32), True),
-        (3, make_queued("x", send_by=0.5), False),
-        (3, make_queued("x", priority=0, send_by=0.32), False),
-        (3, make_queued("x", send_by=0.05, late=True), False),
-        (12, make_queued("x", send_by=0.05, late=True), True),
+        (0, make_queued("x", latest=0.3), False),
+        (0, make_queued("x", latest=0.05), True),
+        (3, make_queued("x", latest=0.32), True),
+        (3, make_queued("x", latest=0.5), False),
+        (3, make_queued("x", priority=0, latest=0.32), False),
+        (3, make_queued("x", latest=1.0, turn=Turn.LATE), False),
+        (12, make_queued("x", latest=1.0, turn=Turn.LATE), True),
+        (3, make_queued("x", latest=0.32, turn=Turn.INTERRUPTED), False),
+        (3, make_queued("x", priority=2, latest=0.32, turn=Turn.INTERRUPTED), True),
+        (0, make_queued("x", latest=0.05, turn=Turn.INTERRUPTED), True),
     ],
     ids=[
         "in time",
@@ -90,13 +88,16 @@
         "urgent goes first",
         "late but soon",
         "late and too many ahead",
+        "interrupted goes first",
+        "interrupted and less urgent",
+        "interrupted and over",
     ],
 )
 def test_what_cannot_be_sent_in_time_is_refused_on_arrival(queued, offered, refused):
     queue, slots = ServiceQueue(Random(1)), SlotForecast([(0.0, 10.0)])
     for number in range(queued):
-        send_by = max(0.31, 0.1 * (number + 1) + 0.01)
-        assert queue.offer(make_queued(number, send_by=send_by), slots, 0.0) is None
+        latest = max(0.31, 0.1 * (number + 1) + 0.01)
+        assert queue.offer(make_queued(number, latest=latest), slots, 0.0) is None
     refusal = queue.offer(offered, slots, 0.0)
     assert (refusal is not None) is refused
     if refusal is not None:
@@ -106,27 +107,34 @@
 def test_order_of_the_queue():
     queue = ServiceQueue(Random(1))
     rows = [
-        make_queued("late", priority=0, late=True),
-        make_queued("second", send_by=2.0),
-        make_queued("first", send_by=1.0),
-        make_queued("urgent", priority=0, send_by=3.0),
+        make_queued("late", priority=0, turn=Turn.LATE),
+        make_queued("second", latest=2.0),
+        make_queued("first", latest=1.0),
+        make_queued("less urgent", priority=2, latest=1.0, turn=Turn.INTERRUPTED),
+        make_queued("later interrupted", latest=5.0, turn=Turn.INTERRUPTED),
+        make_queued("interrupted", latest=4.0, turn=Turn.INTERRUPTED),
+        make_queued("urgent", priority=0, latest=3.0),
     ]
     for row in rows:
         assert queue.offer(row, SlotForecast([(0.0, 100.0)]), 0.0) is None
+    expected = ["urgent", "interrupted", "later interrupted", "first", "second"]
+    expected += ["less urgent", "late"]
+    passed, order = None, []
+    while (passed := queue.peek(passed)) is not None:
+        order.append(passed.item)
+    assert order == expected
     order = []
     while (request := queue.peek()) is not None:
         order.append(request.item)
         queue.pop()
-    assert order == ["urgent", "first", "second", "late"]
+    assert order == expected
 
 
-@pytest.mark.parametrize(
-    ("late", "now", "expired"),
-    [(False, 0.9, 0), (False, 1.1, 1), (True, 0.9, 0), (True, MAX_LATE_WAIT_SECONDS + 0.1, 1)],
-)
-def test_requests_leave_the_queue_as_soon_as_they_cannot_be_sent_in_time(late, now, expired):
+@pytest.mark.parametrize("turn", list(Turn))
+@pytest.mark.parametrize(("now", "expired"), [(0.9, 0), (1.1, 1)])
+def test_requests_leave_the_queue_as_soon_as_they_cannot_be_sent_in_time(turn, now, expired):
     queue = ServiceQueue(Random(1))
-    queue.offer(make_queued("x", late=late), SlotForecast([(0.0, 100.0)]), 0.0)
+    queue.offer(make_queued("x", latest=1.0, turn=turn), SlotForecast([(0.0, 100.0)]), 0.0)
     assert len(list(queue.expire(now))) == expired
     assert len(queue) == 1 - expired
 
