Count a retry that waited from when it is sent

A retry is taken from the budget when it is queued and may now wait for seconds. It left the window that much too early, so that engines could get more retries within a window than the budget allows; a wait of 1 s, or 2 s, was possible before.

Now a retry that was sent from the queue counts as of then, and since it was queued until then. One that is never sent counts from when it was queued, as before.

--- a/src/coltsfootshift/gateway/budget.py
+++ b/src/coltsfootshift/gateway/budget.py
@@ -56,6 +56,16 @@
         retries.append(now)
         return True
 
+    def postpone(self, service: ServiceName, spent_at: float, now: float) -> None:
+        """Count a retry that was spent at `spent_at` as of `now`, when it is sent.
+
+        A retry that waits counts already, so that it may be sent when there is a place for it.
+        """
+        retries = self._retries.setdefault(service, deque())
+        if spent_at in retries:
+            retries.remove(spent_at)
+        retries.append(now)
+
     def compute_limit(self, service: ServiceName, now: float) -> float:
         """Return how many retries this entry may make per window, including those already made."""
         requests = self._requests.setdefault(service, deque())
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -280,12 +280,13 @@
         if not states or self._is_unreachable(exchange, states, now):
             return False
         # A request that has reached no endpoint is not sent again, but for the first time.
-        if exchange.arrivals and not self._budget.try_spend(exchange.service.name, now):
+        spends = exchange.arrivals > 0
+        if spends and not self._budget.try_spend(exchange.service.name, now):
             self.metrics.count("retries_over_budget")
             return False
         self.metrics.count("retries")
         if not self._place(exchange, now):
-            self._enqueue(exchange, now)
+            self._enqueue(exchange, now, spent_at=now if spends else None)
         return not exchange.ended
 
     def reserve_place(self, exchange: Exchange) -> EndpointState | None:
@@ -655,7 +656,7 @@
             return admission.expires_at
         return min(admission.expires_at, self._stop_schedule.answer_by)
 
-    def _enqueue(self, exchange: Exchange, now: float) -> None:
+    def _enqueue(self, exchange: Exchange, now: float, spent_at: float | None = None) -> None:
         admission = exchange.admission
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
         states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
@@ -673,6 +674,7 @@
             self._find_latest(exchange, states, now),
             admission.expires_at,
             self._find_turn(exchange),
+            spent_at,
         )
         refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now)
         if refusal is not None:
@@ -841,6 +843,8 @@
             if self._place(queued.item, now):
                 queued.open = False
                 queued.item.queue_entry = None
+                if queued.spent_at is not None:
+                    self._budget.postpone(name, queued.spent_at, now)
             elif queued.turn is Turn.INTERRUPTED and self._has_place(name, now):
                 passed = queued
             else:
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -37,8 +37,9 @@
 class QueuedRequest:
     """A queued request.
 
-    `latest` is the latest time to send it. Times are in seconds of the same clock. `sequence` is
-    set by the queue.
+    `latest` is the latest time to send it, and `spent_at` when a retry was taken from the budget
+    for it, None if none was. Times are in seconds of the same clock. `sequence` is set by the
+    queue.
     """
 
     item: Any
@@ -46,6 +47,7 @@
     latest: float
     expires_at: float
     turn: Turn
+    spent_at: float | None = None
     open: bool = True
     sequence: int = 0
 
--- a/tests/test_gateway_begun_answers.py
+++ b/tests/test_gateway_begun_answers.py
@@ -428,6 +428,19 @@
     assert is_complete(caller)
 
 
+@pytest.mark.parametrize("begun", [True, False], ids=["begun", "not begun"])
+def test_retry_that_waited_is_counted_from_when_it_was_sent(begun):
+    """More retries would reach the engines within a window than the budget allows."""
+    harness = EngineHarness()
+    harness.open(1, 1.5, begun)
+    harness.end_engine()
+    harness.advance(2.0)
+    harness.free_place()
+    sent_at = harness.clock.seconds()
+    (times,) = harness.gateway._budget._retries.values()
+    assert len(times) == 1 and sent_at - times[0] <= 3 * TICK_SECONDS
+
+
 def test_new_request_does_not_take_the_place_of_a_waiting_one():
     """A place that came free between two ticks went to what arrived next."""
     harness = EngineHarness()
--- a/tests/test_gateway_decisions.py
+++ b/tests/test_gateway_decisions.py
@@ -62,6 +62,21 @@
     assert spent <= ALLOWANCE
 
 
+@pytest.mark.parametrize("others", [0, 3])
+def test_retry_that_waited_counts_from_when_it_was_sent(others):
+    """It left the window before its time, and more retries were sent within one than allowed."""
+    budget = RetryBudget(0.0, 10.0, WINDOW_SECONDS, started_at=-10.0)
+    count = 7 - others
+    spent = [budget.try_spend(SERVICE, 0.0) for _ in range(count)]
+    assert all(spent) and all(budget.try_spend(SERVICE, 2.0) for _ in range(others))
+    assert not budget.try_spend(SERVICE, 3.0)
+    for _ in range(count):
+        budget.postpone(SERVICE, 0.0, 4.0)
+    assert not budget.try_spend(SERVICE, 11.0)
+    assert sum(budget.try_spend(SERVICE, 13.0) for _ in range(10)) == others
+    assert sum(budget.try_spend(SERVICE, 14.1) for _ in range(10)) == count
+
+
 def make_queued(name, priority=1, latest=1.0, turn=Turn.NEW):
     return QueuedRequest(name, priority, latest, 6.0, turn)
 
