Test plain services whose endpoint goes under a request that was passed on

A request that may be repeated waits for a place, and gets 502 in the last 0.1 s before its time-out if none comes; one that may not gets 502 at once. No change of the code.

--- a/tests/test_gateway_begun_answers.py
+++ b/tests/test_gateway_begun_answers.py
@@ -9,6 +9,7 @@
 import pytest
 from gateway_harness import (
     ENGINE_SPEC,
+    ROUTES,
     GatewayHarness,
     Transport,
     make_chunk,
@@ -36,10 +37,11 @@
     ENGINE_SPEC.step + ENGINE_SPEC.slots * ENGINE_SPEC.step_per_request
 )
 PASS_SECONDS = 0.06  # the shortest rest: a prompt and one scheduler pass
+PLAIN_PLACES = 12  # of a plain endpoint of the harness
 FIRST_PORT = 180
 MODEL = make_route("model", RouteKind.STREAMING, resumable=True, service="llm", timeout=6.0)
 MODEL = replace(MODEL, latency_objective=1.0)  # new requests wait long enough to be overtaken
-ROUTES = (
+ENGINE_ROUTES = (
     MODEL,
     replace(MODEL, name="urgent", prefix="/urgent/", priority=0),
     make_route("single", RouteKind.STREAMING, service="llm", timeout=60.0),
@@ -69,7 +71,7 @@
         super().__init__(endpoints=0, engines=0)
         routes = tuple(
             replace(route, timeout=timeout) if route.name in ("model", "urgent") else route
-            for route in ROUTES
+            for route in ENGINE_ROUTES
         )
         self.tables.catalogue = replace(self.tables.catalogue, routes={"host": routes})
         self.links: list[tuple[int, Transport]] = []
@@ -251,6 +253,41 @@
     assert harness.order == expected
 
 
+@pytest.mark.parametrize("place", [True, False], ids=["a place", "no place"])
+@pytest.mark.parametrize("route", ["read", "book"])
+def test_request_to_a_plain_service_waits_only_if_it_may_run_again(route, place):
+    """It got 502 at once, unless a place was free in the moment its endpoint went."""
+    harness = GatewayHarness(endpoints=1)
+    routes = tuple(replace(row, timeout=2.5) for row in ROUTES)
+    harness.tables.catalogue = replace(harness.tables.catalogue, routes={"host": routes})
+    fillers = [
+        harness.send_request("book", request=f"f-{number}") for number in range(PLAIN_PLACES)
+    ]
+    links = [harness.accept() for _ in fillers]
+    harness.add_endpoint("e-1", "s", 81)
+    harness.gateway.refresh()
+    caller = harness.send_request(route)
+    lost = harness.accept()
+    for _ in range(60):
+        harness.clock.advance(TICK_SECONDS)
+    lost.disconnect(ConnectionLost())
+    assert read_status(caller) == (502 if route == "book" else 0)
+    if route == "book":
+        return
+    if not place:
+        while not caller.value():
+            harness.clock.advance(TICK_SECONDS)
+        assert read_status(caller) == 502 and 2.4 <= harness.clock.seconds() <= 2.5
+        return
+    harness.clock.advance(0.1)
+    links[0].take()
+    links[0].protocol.dataReceived(make_response(b"ok", request="f-0"))
+    harness.clock.advance(TICK_SECONDS)
+    assert b"r-1" in links[0].value()
+    links[0].protocol.dataReceived(make_response(b"ok"))
+    assert read_status(caller) == 200
+
+
 @pytest.mark.parametrize("route", ["model", "plain"])
 @pytest.mark.parametrize("left", [0.04, WHOLE_SECONDS - 0.1], ids=lambda left: f"{left:.2f} s left")
 def test_what_cannot_be_finished_ends_at_once(left, route):
