Answer a request at once when the handling of its answer fails

An exception while an answer was handled ended only the connection of the endpoint, or was just logged. The caller waited for a retry that had the same fault, or until its deadline; if the fault came with that, it waited for ever. A fault in the periodic task with one request kept it from all others. After a failed dial, the request could not even be cancelled.

What handles a request now runs under `Exchange.guard`, which answers with 502 or breaks a begun answer off, as `handle_request` does already. The answer of an endpoint is passed on whatever becomes of its connection. The outcome in `request ended` is `its handling failed`, no longer `caller gone`.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -32,6 +32,7 @@
 
 logger = get_logger("gateway.callers")
 
+HANDLING_FAILED = "its handling failed"
 MAX_CAUSE_CHARACTERS = 200
 # Before a connection is reset, its caller is given this long to receive what was written. The end
 # of an answer whose time is over must reach it within half a second.
@@ -81,10 +82,11 @@
 class IncomingRequest:
     """A complete request of a caller, with the methods to respond to it.
 
-    `on_disconnect` is called once if the caller's connection is lost before the response is
-    finished. `on_blocked` is called when more of the response waits to be sent than the transport
-    holds, and `on_unblocked` when all of it has been sent. `arrived_at` is in seconds of the
-    reactor's clock; `connection_reused` is set if the connection has carried a request before.
+    `on_disconnect` is called once, with what happened, if the caller's connection is lost before
+    the response is finished, or if the handling of the request has failed. `on_blocked` is called
+    when more of the response waits to be sent than the transport holds, and `on_unblocked` when all
+    of it has been sent. `arrived_at` is in seconds of the reactor's clock; `connection_reused` is
+    set if the connection has carried a request before.
     `request` is the id that the caller has given it, empty until it is known.
     """
 
@@ -96,7 +98,7 @@
         self.headers = head.headers
         self.body = body
         self.arrived_at = arrived_at
-        self.on_disconnect: Callable[[], None] | None = None
+        self.on_disconnect: Callable[[str], None] | None = None
         self.on_blocked: Callable[[], None] | None = None
         self.on_unblocked: Callable[[], None] | None = None
         self.request = ""
@@ -147,12 +149,14 @@
 
     def fail(self) -> None:
         """Respond to a request whose handling failed; whether it has run is unknown."""
-        if self.on_disconnect is not None:
-            self.on_disconnect()
-        if self.head_sent:
-            self.break_off("its handling failed")
-        else:
-            self.respond(502, [], b"")
+        try:
+            if self.on_disconnect is not None:
+                self.on_disconnect(HANDLING_FAILED)
+        finally:
+            if not self.head_sent:
+                self.respond(502, [], b"")
+            elif self._connection.is_handling(self):
+                self.break_off(HANDLING_FAILED)
 
     def break_off(self, cause: str) -> None:
         """Reset the connection, so that the caller cannot treat the response as complete."""
@@ -219,6 +223,10 @@
             return False
         return self._closing or not self._is_idle()
 
+    def is_handling(self, request: IncomingRequest) -> bool:
+        """Return whether the response to a request is not complete yet."""
+        return self._request is request
+
     def connectionMade(self) -> None:
         """Wait for the first request."""
         self.open = True
@@ -242,7 +250,7 @@
         self._record_loss(reason)
         request, self._request = self._request, None
         if request is not None and not request.finished and request.on_disconnect is not None:
-            request.on_disconnect()
+            request.on_disconnect("caller gone")
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers of the response in progress."""
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from coltsfootshift.gateway.callers import IncomingRequest
 from coltsfootshift.gateway.calls import ResponseHead
@@ -31,6 +32,8 @@
 # Callers rely on these statuses as a guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+Result = TypeVar("Result")
+
 logger = get_logger("gateway.exchange")
 
 
@@ -136,19 +139,19 @@
     def head_received(self, head: ResponseHead) -> None:
         if self.active:
             self.head = head
-            self._exchange.handle_head(self, head)
+            self._exchange.guard(self._exchange.handle_head, self, head)
 
     def body_received(self, data: bytes) -> None:
         if self.active:
-            self._exchange.handle_data(self, data)
+            self._exchange.guard(self._exchange.handle_data, self, data)
 
     def response_completed(self) -> None:
         if self.active:
-            self._exchange.handle_end(self)
+            self._exchange.guard(self._exchange.handle_end, self)
 
     def attempt_failed(self, reason: str, sent: bool) -> None:
         if self.active:
-            self._exchange.handle_failure(self, reason, sent)
+            self._exchange.guard(self._exchange.handle_failure, self, reason, sent)
 
 
 class Exchange:
@@ -184,7 +187,7 @@
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
-            max(0.0, admission.expires_at - reactor.seconds()), self._on_deadline
+            max(0.0, admission.expires_at - reactor.seconds()), self.guard, self._on_deadline
         )
         incoming.on_disconnect = self._on_caller_disconnect
         incoming.on_blocked = self._on_caller_blocked
@@ -213,6 +216,19 @@
         """Whether part of the response has been sent to the caller."""
         return self.incoming.head_sent
 
+    def guard(self, handle: Callable[..., Result], *args: Any) -> Result | None:
+        """Return the result of a function that handles this request, or None if it fails.
+
+        The caller is then told at once: the events that a failed function has dealt with do not
+        come again.
+        """
+        try:
+            return handle(*args)
+        except Exception:
+            logger.exception("request not handled", extra={"request": self.request})
+            self.incoming.fail()
+            return None
+
     def start_attempt(self, state: EndpointState) -> ResponseReceiver:
         """Start an attempt at an endpoint; the owner then calls `set_outbound`."""
         now = self._owner.reactor.seconds()
@@ -555,11 +571,11 @@
         else:
             self._owner.send_refusal(self, NotRun(reason, retry_after=0.0))
 
-    def _on_caller_disconnect(self) -> None:
-        """Cancel everything in progress when the caller has disconnected."""
+    def _on_caller_disconnect(self, outcome: str) -> None:
+        """Cancel everything in progress when the caller has disconnected, or after a fault."""
         if not self.ended:
             self._cancel_attempt()
-            self._close("caller gone")
+            self._close(outcome)
 
     def _on_caller_blocked(self) -> None:
         """Let the rest of the response wait at the endpoint while the caller is slow."""
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -264,6 +264,14 @@
 
     def _handle_end(self) -> None:
         receiver, self._receiver = self._receiver, None
+        try:
+            self._keep_or_abort()
+        finally:
+            if receiver is not None:
+                receiver.response_completed()
+
+    def _keep_or_abort(self) -> None:
+        """Keep the connection for the next request if nothing but the response has come on it."""
         http = self._http
         clean = not http.trailing_data[0] and http.our_state is h11.DONE
         if clean and http.their_state is h11.DONE and not self._lost:
@@ -273,8 +281,6 @@
             self._pool.add_idle(self)
         else:
             self._abort()
-        if receiver is not None:
-            receiver.response_completed()
 
     def _fail(self, reason: str) -> None:
         receiver, self._receiver = self._receiver, None
@@ -315,6 +321,7 @@
         self._cancel_timer()
         self._pool.release_failed_dial()
         outbound = self._outbound
+        outbound.connector = None
         if outbound.cancelled:
             return
         cause = reason.getErrorMessage()
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -765,11 +765,11 @@
             estimate_pause = partial(self._estimate_pause, now=now)
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now, estimate_pause)):
-                queued.item.refuse(refusal)
+                queued.item.guard(queued.item.refuse, refusal)
         if self._stop_schedule is not None:
             self._refuse_outlasting(self._stop_schedule, now)
         for exchange in list(self._exchanges):
-            exchange.check_stall(now)
+            exchange.guard(exchange.check_stall, now)
         self._withdraw_outdated(now)
         if now - self._pools_checked_at >= POOL_CHECK_SECONDS:
             self._pools_checked_at = now
@@ -796,7 +796,7 @@
                 min_versions[model] = self._find_min_version(
                     exchange, now, WITHDRAWAL_MARGIN_SECONDS
                 )
-            exchange.withdraw_outdated(min_versions[model], now)
+            exchange.guard(exchange.withdraw_outdated, min_versions[model], now)
 
     def _restart(self, failure: Failure) -> None:
         """Log a failure of the periodic task, and start it again: all requests depend on it."""
@@ -823,7 +823,7 @@
         now = self.reactor.seconds()
         while queue is not None:
             queued = queue.peek()
-            if queued is None or not self._place(queued.item, now):
+            if queued is None or not queued.item.guard(self._place, queued.item, now):
                 return
             queued.open = False
             queued.item.queue_entry = None
