--- a/tests/test_gateway_broken_off.py
+++ b/tests/test_gateway_broken_off.py
@@ -42,19 +42,27 @@
         self.gateway.refresh()
         self.port = self.clock.listenTCP(0, self.factory, interface="127.0.0.1")
 
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *failure):
+        self.gateway._loop.stop()
+        self.port.stopListening()
+        self.clock.iterate(0)
+
     def iterate(self, seconds):
         """Run the reactor for `seconds`."""
         until = time.monotonic() + seconds
         while time.monotonic() < until:
             self.clock.iterate(0.005)
 
-    def call(self, protocol="HTTP/1.1", receive_bytes=None):
-        """Send a request for a stream that may not be repeated; return both ends of it."""
+    def call(self, protocol="HTTP/1.1", receive_bytes=None, route="once"):
+        """Send a request that may not be repeated, by default a stream; return both ends of it."""
         caller = socket.socket()
         if receive_bytes is not None:
             caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
         caller.connect(("127.0.0.1", self.port.getHost().port))
-        lines = [f"POST /once/x {protocol}", "Host: host", "X-Attempt-Id: r-1"]
+        lines = [f"POST /{route}/x {protocol}", "Host: host", "X-Attempt-Id: r-1"]
         lines += [f"X-Api-Key: {KEY}", "Content-Length: 0", "", ""]
         caller.sendall("\r\n".join(lines).encode())
         self.iterate(0.1)
@@ -85,11 +93,8 @@
 
 @pytest.fixture
 def harness():
-    harness = LoopbackHarness()
-    yield harness
-    harness.gateway._loop.stop()
-    harness.port.stopListening()
-    harness.clock.iterate(0)
+    with LoopbackHarness() as harness:
+        yield harness
 
 
 def close(endpoint):
