--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -199,12 +199,23 @@
         """
         self._lost = True
         self._cancel_head_timer()
-        if self._receiver is not None and reason.check(connectionDone.type):
-            self._http.receive_data(b"")
-            self._read_events()
+        if reason.check(connectionDone.type):
+            self._end_response()
         self._fail(f"connection lost: {reason.getErrorMessage()}")
         self._pool.remove(self)
 
+    def _end_response(self) -> None:
+        """End the response in progress, if any, with its connection, which was closed cleanly."""
+        if self._receiver is None:
+            return
+        if self._http.their_state is h11.SEND_RESPONSE:
+            begun = bool(self._http.trailing_data[0])
+            place = "within the head of an answer" if begun else "before an answer"
+            self._fail(f"connection closed {place}")
+            return
+        self._http.receive_data(b"")
+        self._read_events()
+
     def _read_events(self) -> None:
         while self._receiver is not None:
             try:
@@ -264,6 +275,14 @@
 
     def _handle_end(self) -> None:
         receiver, self._receiver = self._receiver, None
+        try:
+            self._keep_or_abort()
+        finally:
+            if receiver is not None:
+                receiver.response_completed()
+
+    def _keep_or_abort(self) -> None:
+        """Keep the connection for the next request if nothing but the response has come on it."""
         http = self._http
         clean = not http.trailing_data[0] and http.our_state is h11.DONE
         if clean and http.their_state is h11.DONE and not self._lost:
@@ -273,8 +292,6 @@
             self._pool.add_idle(self)
         else:
             self._abort()
-        if receiver is not None:
-            receiver.response_completed()
 
     def _fail(self, reason: str) -> None:
         receiver, self._receiver = self._receiver, None
@@ -315,6 +332,7 @@
         self._cancel_timer()
         self._pool.release_failed_dial()
         outbound = self._outbound
+        outbound.connector = None
         if outbound.cancelled:
             return
         cause = reason.getErrorMessage()
