Log why a failed request is not sent again

`order failed` told with `again` only that a request is not sent again. `request not retried` names it now. No logic is changed; test_gateway_logs.py has a row for three of the four causes.

--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -311,17 +311,19 @@
         now = self.reactor.seconds()
         if self._may_end_endpoints(exchange, now):
             self.metrics.count("retries_of_suspects")
-            return False
+            return _log_no_retry(exchange, "endpoints may end under it")
         states = self._list_candidates(exchange, now)
         if not states and self._find_turn(exchange) is Turn.INTERRUPTED:
             states = self._list_loading(exchange, now)
-        if not states or self._is_unreachable(exchange, states, now):
-            return False
+        if not states:
+            return _log_no_retry(exchange, "no endpoint can serve it")
+        if self._is_unreachable(exchange, states, now):
+            return _log_no_retry(exchange, "no endpoint has been reached in time")
         # A request that has reached no endpoint is not sent again, but for the first time.
         spends = exchange.arrivals > 0
         if spends and not self._budget.try_spend(exchange.service.name, now):
             self.metrics.count("retries_over_budget")
-            return False
+            return _log_no_retry(exchange, "the retry budget is spent")
         self.metrics.count("retries")
         if not self._place(exchange, now):
             self._enqueue(exchange, now, spent_at=now if spends else None)
@@ -939,6 +941,12 @@
         return round(age, 2) if isfinite(age) else None
 
 
+def _log_no_retry(exchange: Exchange, cause: str) -> bool:
+    """Log why a failed request is not sent again; return False."""
+    logger.info("request not retried", extra={"request": exchange.request, "cause": cause})
+    return False
+
+
 def _predict_duration(exchange: Exchange, state: EndpointState, now: float) -> float:
     """Return the expected seconds from sending to the end of a response.
 
--- a/tests/test_gateway_logs.py
+++ b/tests/test_gateway_logs.py
@@ -257,3 +257,41 @@
         harness.stand_still(0.1, lambda: caller.disconnect(ConnectionLost()))
     (line,) = [row for row in caplog.records if row.message == "caller connection ended"]
     assert (line.since_tick, line.tick_delay, line.seconds) == (0.0, 0.08, 0.12)
+
+
+def spend_the_budget(harness):
+    harness.gateway._budget.set_entry_count(10_000)
+
+
+def remove_the_endpoints(harness):
+    harness.tables.endpoints.clear()
+    harness.gateway.refresh()
+
+
+def suspect_the_request(harness):
+    (exchange,) = harness.gateway._exchanges
+    crashes = harness.gateway.beliefs.crashes
+    for number in range(3):
+        crashes.record_crash(f"x-{number}", "s", [exchange.admission.suspects], 0.0)
+
+
+@pytest.mark.parametrize(
+    ("prepare", "cause"),
+    [
+        (spend_the_budget, "the retry budget is spent"),
+        (remove_the_endpoints, "no endpoint can serve it"),
+        (suspect_the_request, "endpoints may end under it"),
+        (lambda harness: None, None),
+    ],
+    ids=["budget", "no endpoint", "suspect", "retried"],
+)
+def test_line_tells_why_a_failed_request_is_not_sent_again(prepare, cause, caplog):
+    """`order failed` told only that it was not."""
+    harness = GatewayHarness(endpoints=2)
+    harness.send_request("read")
+    endpoint = harness.accept()
+    prepare(harness)
+    with caplog.at_level(logging.INFO, "coltsfootshift"):
+        endpoint.abortConnection()
+    rows = [row for row in caplog.records if row.message == "request not retried"]
+    assert [(row.request, row.cause) for row in rows] == ([] if cause is None else [("r-1", cause)])
