Bound what a process holds of all unfinished answers together

Seen: a service that sends answers without end on hundreds of connections fills the entry. An entry may use 400 MB, so that the requests of all other callers end with it.

Cause: each answer was held up to 1 MiB, and nothing limited their sum. An answer that had begun was also held again, 1 MiB at a time, and what was passed on to a caller that reads nothing was not counted.

Fix: `HeldBytes` counts what all exchanges hold, with what they have passed on while the caller's transport is full. Above 64 MiB an answer is held up to 16 KiB; then it is passed on if it is sealed and fails if not, as it did at 1 MiB. Short answers of other endpoints are held whole as before. An answer that has begun is passed on as it arrives. The metric `answer_bytes_held` shows the sum.

Not counted: complete answers of up to 1 MiB that wait for a slow caller, and what the kernel has received of connections that are paused.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -9,6 +9,7 @@
 from coltsfootshift.gateway.calls import ResponseHead
 from coltsfootshift.gateway.checks import Admission
 from coltsfootshift.gateway.events import EventStreamBuffer
+from coltsfootshift.gateway.holding import HeldBody, HeldBytes
 from coltsfootshift.gateway.links import ResponseReceiver
 from coltsfootshift.gateway.model import Route, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, WorkSize
@@ -35,9 +36,13 @@
 
 
 class ExchangeOwner(ABC):
-    """Schedules the attempts of exchanges and sends the gateway's own responses."""
+    """Schedules the attempts of exchanges and sends the gateway's own responses.
+
+    `held_bytes` counts what all exchanges hold of their responses.
+    """
 
     reactor: Any
+    held_bytes: HeldBytes
 
     @abstractmethod
     def reschedule(self, exchange: Exchange) -> bool:
@@ -179,7 +184,7 @@
         self._outbound: Any = None
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
-        self._buffered = bytearray()
+        self._held = HeldBody(owner.held_bytes, MAX_BUFFERED_BYTES)
         self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
@@ -336,11 +341,11 @@
             if self._event_buffer.overlong:
                 self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
-        self._buffered += data
-        if len(self._buffered) <= MAX_BUFFERED_BYTES:
+        self._held.add(data)
+        if not self._held.overlong and not self.response_started:
             return
         if head.sealed:
-            self._flush_buffered(head)
+            self._pass_on_held(head)
         else:
             reason = f"status {head.status} with too long a body"
             self._fail_attempt(attempt, reason, attempt.last_received_at)
@@ -377,8 +382,9 @@
             attempt.state.record_success(self.request, now)
         else:
             attempt.state.record_failure(self.request, now)
+        body = self._held.take()
         self._close(f"status {head.status}")
-        self._send_buffered(head)
+        self._send_rest(head, body)
 
     def handle_failure(self, attempt: _Attempt, reason: str, sent: bool) -> None:
         """Handle an attempt without a complete response."""
@@ -463,16 +469,16 @@
         attempt.active = False
         self._attempt = None
         self._outbound = None
-        buffered = self._discard_partial()
+        held = self._held.take() if keep_response else b""
+        self._discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
         self._log_failure(attempt, reason, retrying)
         if retrying or self.ended:
             return
         if keep_response and attempt.head is not None:
-            self._buffered = buffered
             self._close(f"status {attempt.head.status}")
-            self._send_buffered(attempt.head)
+            self._send_rest(attempt.head, held)
             return
         self._close(reason)
         if self.response_started:
@@ -484,11 +490,10 @@
                 self, NotRun(reason, retry_after=self._owner.draw_retry_after(self))
             )
 
-    def _discard_partial(self) -> bytearray:
-        """Discard what was not sent to the caller; return the buffered part of a plain response."""
-        buffered, self._buffered = self._buffered, bytearray()
+    def _discard_partial(self) -> None:
+        """Discard what was not sent to the caller."""
+        self._held.discard()
         self._event_buffer.discard_partial()
-        return buffered
 
     def _log_failure(self, attempt: _Attempt, reason: str, retrying: bool) -> None:
         begun_at = attempt.begun_at
@@ -522,18 +527,22 @@
         )
         self.incoming.abort()
 
-    def _send_buffered(self, head: ResponseHead) -> None:
+    def _send_rest(self, head: ResponseHead, body: bytes) -> None:
+        """End the response with what was held back of it."""
         if self.response_started:
-            self._flush_buffered(head)
+            self.incoming.write(body)
             self.incoming.finish()
             return
-        self.incoming.respond(head.status, head.forwarded_headers, bytes(self._buffered))
+        self.incoming.respond(head.status, head.forwarded_headers, body)
 
-    def _flush_buffered(self, head: ResponseHead) -> None:
+    def _pass_on_held(self, head: ResponseHead) -> None:
+        """Send the caller what has been held back; from then on the body is sent as it arrives."""
         if not self.response_started:
             self.incoming.start_stream(head.status, head.forwarded_headers)
-        self.incoming.write(bytes(self._buffered))
-        self._buffered.clear()
+        data = self._held.take()
+        self.incoming.write(data)
+        if self._blocked:
+            self._held.keep_unsent(len(data))
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
@@ -569,6 +578,7 @@
 
     def _on_caller_unblocked(self) -> None:
         self._blocked = False
+        self._held.release_unsent()
         if self._attempt is not None:
             self._attempt.record_progress(self._owner.reactor.seconds())
         if self._outbound is not None:
@@ -593,6 +603,8 @@
             return
         self.ended = True
         self._attempt = None
+        self._held.discard()
+        self._held.release_unsent()
         if self._deadline_timer.active():
             self._deadline_timer.cancel()
         self._owner.record_end(self, outcome)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -37,6 +37,7 @@
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
+from coltsfootshift.gateway.holding import HeldBytes
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
@@ -130,6 +131,7 @@
         self.reactor = reactor
         self.tables = tables
         self.metrics = metrics
+        self.held_bytes = HeldBytes()
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
         self._stop_schedule: StopSchedule | None = None
@@ -164,6 +166,7 @@
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
+        metrics.add_gauge("answer_bytes_held", lambda: float(self.held_bytes.size))
         metrics.add_gauge("exchanges_waiting", self._count_waiting)
         metrics.add_gauge(
             "links_dialled", lambda: float(sum(p.dialled for p in self._pools.values()))
