Read no further from a caller that has sent much behind its request

Seen: all that a caller sends while its request is in progress was kept in memory, until the answer had ended: 256 KiB were taken in each of six rows, where the test stopped.

Cause: the limit of h11 applies to an event that is being parsed, and nothing is parsed while a request is in progress.

Fix: above 64 KiB the transport is paused, and it is read on when the answer has ended; the rest waits at the caller. What is sent ahead in ordinary use, a short request or two, is below that, so that such a caller is still seen to leave. One that has sent more is not, until its answer has ended or its deadline has passed.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -19,6 +19,10 @@
 
 logger = get_logger("gateway.callers")
 
+# A caller is not read on if it has sent more than this behind its request in progress. As its
+# leaving can't be noticed then, a short request or two that were sent ahead are below it.
+MAX_READ_AHEAD_BYTES = 64 * 1024
+
 _REASON_PHRASES = {
     200: b"OK",
     408: b"Request Timeout",
@@ -149,6 +153,7 @@
         self._rejected = False
         self._watching = False
         self._closing = False
+        self._unread = False
 
     @property
     def busy(self) -> bool:
@@ -169,6 +174,7 @@
         if self._rejected:
             return
         self._http.receive_data(data)
+        self._limit_read_ahead()
         if self._head is None and self._request is None:
             self._set_timeout(self._handler.limits.header_timeout, self._on_header_timeout)
         self._read_events()
@@ -224,6 +230,7 @@
             return
         self._http.start_next_cycle()
         self._head = None
+        self._read_on()
         if self._handler.closing and not self._has_further_bytes():
             self._close_when_sent()
             return
@@ -265,6 +272,19 @@
             logger.info("caller connection failed while idle", extra={"cause": str(error)})
             return False
 
+    def _limit_read_ahead(self) -> None:
+        """Stop reading until the response in progress has ended if much was sent behind it."""
+        if self._request is None or self._unread:
+            return
+        if len(self._http.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
+            self._unread = True
+            self.transport.pauseProducing()
+
+    def _read_on(self) -> None:
+        if self._unread:
+            self._unread = False
+            self.transport.resumeProducing()
+
     def _close_when_sent(self) -> None:
         self._closing = True
         self.transport.loseConnection()
