Hold a caller's body as bytes, not as a list of its chunks

Seen: a body of 1 MiB that a caller sends in chunks of 2 bytes took 23 MB; at the limit of 4 MiB one caller takes four times that.

Cause: each chunk was kept as an object of its own until the body was complete.

Fix: the chunks are appended to one buffer, as those of answers are.

Evidence: the new row of test_endless_callers.py failed before (23,043,169 bytes; bound 2 MiB).

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -146,8 +146,7 @@
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._request: IncomingRequest | None = None
         self._timeout: Any = None
         self._rejected = False
@@ -319,19 +318,17 @@
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._head = event
-            self._body = []
-            self._body_bytes = 0
+            self._body = bytearray()
             return
         if isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._handler.limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > self._handler.limits.body_bytes:
                 self._reject(413)
             return
         if isinstance(event, h11.EndOfMessage) and self._head is not None:
             self._cancel_timeout()
-            body = b"".join(self._body)
-            self._body = []
+            body = bytes(self._body)
+            self._body = bytearray()
             if self._is_closed_by_caller():
                 self.abort()
                 return
--- a/tests/test_endless_callers.py
+++ b/tests/test_endless_callers.py
@@ -1,16 +1,19 @@
-"""Bytes of callers without end."""
+"""Bytes of callers without end: behind a request in progress, and in a body of tiny chunks."""
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from gateway_harness import KEY, GatewayHarness
-from test_endless_answers import CHUNKED, OK, PIECE_BYTES, repeat
+from test_endless_answers import CHUNKED, OK, PIECE_BYTES, make_chunk, repeat
 from test_gateway_answers import read_body
 from twisted.internet.error import ConnectionDone
 
 from coltsfootshift.gateway.callers import MAX_READ_AHEAD_BYTES
 
 MOST_BYTES = 4 * MAX_READ_AHEAD_BYTES
+BODY_BYTES = 1024 * 1024
 NEXT_REQUEST = (
     b"POST /read/x HTTP/1.1\r\nHost: host\r\nX-Attempt-Id: r-1\r\nX-Api-Key: %s\r\n"
     b"Content-Length: 0\r\n\r\n" % KEY.encode()
@@ -71,3 +74,19 @@
     assert caller.producerState == "producing"
     caller.disconnect(ConnectionDone())
     assert endpoint.aborted
+
+
+def test_callers_body_of_tiny_chunks_is_held_in_little_memory():
+    """Each chunk was held as an object of its own, at twenty times its size."""
+    harness = GatewayHarness()
+    caller = harness.connect()
+    head = NEXT_REQUEST.replace(b"Content-Length: 0", b"Transfer-Encoding: chunked")
+    caller.protocol.dataReceived(head)
+    tracemalloc.start()
+    try:
+        for _ in range(BODY_BYTES // PIECE_BYTES):
+            caller.protocol.dataReceived(make_chunk(b"ab") * (PIECE_BYTES // 2))
+        assert caller.value() == b""
+        assert tracemalloc.get_traced_memory()[0] < 2 * BODY_BYTES
+    finally:
+        tracemalloc.stop()
