--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -38,6 +38,9 @@
 # of an answer whose time is over must reach it within half a second.
 MAX_FLUSH_SECONDS = 0.25
 FLUSH_CHECK_SECONDS = 0.01
+# A caller is not read on if it has sent more than this behind its request in progress. As its
+# leaving can't be noticed then, a short request or two that were sent ahead are below it.
+MAX_READ_AHEAD_BYTES = 64 * 1024
 
 _REASON_PHRASES = {
     200: b"OK",
@@ -205,8 +208,7 @@
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._request: IncomingRequest | None = None
         self._latest: IncomingRequest | None = None
         self._answer_bytes = 0
@@ -215,6 +217,7 @@
         self._rejected = False
         self._watching = False
         self._closing = False
+        self._unread = False
 
     @property
     def busy(self) -> bool:
@@ -239,6 +242,7 @@
         if self._rejected:
             return
         self._http.receive_data(data)
+        self._limit_read_ahead()
         if self._head is None and self._request is None:
             self._set_timeout(self._handler.limits.header_timeout, self._on_header_timeout)
         self._read_events()
@@ -295,6 +299,7 @@
             return
         self._http.start_next_cycle()
         self._head = None
+        self._read_on()
         if self._handler.closing and not self._has_further_bytes():
             self._close_when_sent()
             return
@@ -390,6 +395,19 @@
             logger.info("caller connection failed", extra={"cause": str(error)})
             return False
 
+    def _limit_read_ahead(self) -> None:
+        """Stop reading until the response in progress has ended if much was sent behind it."""
+        if self._request is None or self._unread:
+            return
+        if len(self._http.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
+            self._unread = True
+            self.transport.pauseProducing()
+
+    def _read_on(self) -> None:
+        if self._unread:
+            self._unread = False
+            self.transport.resumeProducing()
+
     def _close_when_sent(self) -> None:
         self._closing = True
         self.transport.loseConnection()
@@ -425,19 +443,17 @@
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._head = event
-            self._body = []
-            self._body_bytes = 0
+            self._body = bytearray()
             return
         if isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._handler.limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > self._handler.limits.body_bytes:
                 self._reject(413)
             return
         if isinstance(event, h11.EndOfMessage) and self._head is not None:
             self._cancel_timeout()
-            body = b"".join(self._body)
-            self._body = []
+            body = bytes(self._body)
+            self._body = bytearray()
             if self._is_closed_by_caller():
                 self.abort(Ender.CALLER, "closed before the request was handled")
                 return
