HTTP clients connect to an address without a lookup in a thread

What was seen: tests/test_endless_control_answers.py failed beside load with 5 of 9 connections at the server. The other four clients had failed before they connected.

Cause: Twisted's HostnameEndpoint looks up every host in a thread of a pool, addresses too. The time limit of a request (1 s for the store) runs meanwhile, and on a busy machine that thread may not be run for so long. Each dial to the store, an engine, an origin or a platform did this.

--- a/src/coltsfootshift/answers.py
+++ b/src/coltsfootshift/answers.py
@@ -4,8 +4,9 @@
 
 from typing import Any
 
+from twisted.internet.abstract import isIPAddress
 from twisted.internet.defer import Deferred, TimeoutError
-from twisted.internet.endpoints import HostnameEndpoint
+from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
 from twisted.internet.interfaces import IStreamClientEndpoint
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
@@ -30,6 +31,8 @@
     """Return an HTTP agent that closes a connection if the head of a response is too long.
 
     Twisted limits a line of a head, but neither the number of lines nor of informational responses.
+    It also looks up addresses in a thread, like names. On a busy machine that thread may wait for
+    a processor longer than the response may take, so that addresses are connected to directly.
     """
     return Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), pool)
 
@@ -156,4 +159,7 @@
         self._reactor = reactor
 
     def endpointForURI(self, uri: Any) -> _Endpoint:
+        host = uri.host.decode("ascii")
+        if isIPAddress(host):
+            return _Endpoint(TCP4ClientEndpoint(self._reactor, host, uri.port))
         return _Endpoint(HostnameEndpoint(self._reactor, uri.host, uri.port))
