Ask for a refusal at the bound, not for an answer to a request before it

What was seen: test_keys_are_refused_once_the_store_is_silent_for_too_long failed beside load: the first 503 came 3.0 s and more after the loss of the store.

Cause: the test sent one request after another and asked for a 503 that arrives within 3 s. What is promised is that no request is accepted once the store has been silent for 3 s. A request accepted before may be open for as long as its endpoint takes.

The new check is as strict: a request sent at the bound, and all of one second after, must be refused.

--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -77,10 +77,13 @@
     """A key that may have been revoked must not be accepted without contact to the store."""
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
+    wait_for(lambda: book(ports)[0] == 200)
     fleet.store.down = 503
-    lost_at = time.monotonic()
-    wait_for(lambda: book(ports)[0] == 503, MAX_REVOKE_DELAY_SECONDS + 1.0)
-    assert time.monotonic() - lost_at <= MAX_REVOKE_DELAY_SECONDS
+    refused_from = time.monotonic() + MAX_REVOKE_DELAY_SECONDS
+    # What is sent before may still be open then, as its endpoint may take its time.
+    time.sleep(MAX_REVOKE_DELAY_SECONDS)
+    while time.monotonic() < refused_from + 1.0:
+        assert book(ports)[0] == 503
     fleet.store.down = 0
     wait_for(lambda: book(ports)[0] == 200)
 
