A failed test tells what was ready to run, but was not run

Failures beside load were listed as not traced: an entry that stood still for seconds at its start, a stand-in that did not answer for 3 s. Nothing told whether the code or the machine held them up.

A failed test now shows for each of its processes how long it has run and how long it was ready but not run, as the kernel counts it, and which threads of the test's own process, where the stand-ins are, waited for a processor for 0.3 s or more, with the time.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 
 import pytest
 from process_logs import describe_processes
+from processor_waits import ProcessorWatch
 
 from coltsfootshift_bench.deployments import TENTLINE, make_catalogue
 from coltsfootshift_bench.fleet import Fleet
@@ -16,16 +17,25 @@
 CHUNK_BYTES = 64 * 1024
 QUICK_STREAMS = {"heartbeat": 0.2, "silence": 0.8, "retry_most": 0.5}
 
+watch = ProcessorWatch()
+
+
+def pytest_runtestloop() -> None:
+    """Watch from before the first test which threads wait for a processor."""
+    watch.start()
+
 
 @pytest.hookimpl(wrapper=True)
 def pytest_runtest_makereport(
     item: pytest.Item,
 ) -> Generator[None, pytest.TestReport, pytest.TestReport]:
-    """Add to the report of a failed test what its processes did."""
+    """Add to the report of a failed test what its processes did, and what was not run meanwhile."""
     report = yield
     if report.failed:
         for name, text in describe_processes(getattr(item, "funcargs", {}).values()):
             report.sections.append((f"Process {name}", text))
+        waits = "\n".join(watch.describe(since=report.start)) or "none"
+        report.sections.append(("Threads of the test that waited for a processor", waits))
     return report
 
 
--- a/tests/process_logs.py
+++ b/tests/process_logs.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from platform_fleet import Fleet as PlatformFleet
+from processor_waits import describe_processor_time
 
 from coltsfootshift_bench.fleet import Fleet
 
@@ -19,7 +20,9 @@
 def describe_process(process: Popen[bytes], log: Path) -> str:
     """Return whether a process runs or how it ended, and the first and last lines of its log."""
     status = process.poll()
-    lines = ["runs" if status is None else f"ended with status {status}"]
+    lines = [f"ended with status {status}"]
+    if status is None:
+        lines = [f"runs; {describe_processor_time(process.pid)}"]
     logged = log.read_text("utf-8", "replace").splitlines()
     left_out = len(logged) - MAX_FIRST_LINES - MAX_LAST_LINES
     if left_out > 0:
