Ask the clients which connections they left open, not when the server saw it

What was seen: test_control_answer_that_dribbles[body] failed once in six runs beside 12 busy processes (load 26): all connections were closed, but the server, a thread of the test, saw the last of them 0.12 s before the clients' process ended, where it had to be 0.5 s.

Cause: the clients' process ended 1 s after its last outcome, and the server had to be run in the first half of it. No promise states that.

The new check is as strict on the clients: half a second after the last outcome their process asks the kernel which of its sockets are connected to the server, and none may be. It goes on until the server has seen all connections closed, so that its end closes none of them; the server has 5 s for that. After an answer nothing fails at the clients, so that there, as before, the limit of bytes holds and the server has to see the connections closed.

--- a/tests/endless_clients.py
+++ b/tests/endless_clients.py
@@ -2,15 +2,18 @@
 
     python endless_clients.py PORT SECONDS
 
-The process ends a second after the last outcome, so that it can be seen which connections are left
-open, or after `SECONDS`.
+Half a second after the last outcome it prints `open` and how many connections it still has to the
+port. It ends when its standard input is closed, so that it can be seen which connections are closed
+before, or after `SECONDS`.
 """
 
 from __future__ import annotations
 
 import sys
+import threading
 from random import Random
 
+import psutil
 from coltsfootshift_platform.engines import HttpEngine, HttpOrigin
 from coltsfootshift_platform.store import StoreWatcher
 from twisted.internet import reactor
@@ -24,7 +27,7 @@
 from coltsfootshift.settings import Address
 from coltsfootshift.weightstore import http as weight_http
 
-LINGER_SECONDS = 1.0
+CLOSE_SECONDS = 0.5
 WEIGHTS_SECONDS = 3.0  # less than the client's own limit, so that the test ends soon
 
 
@@ -65,18 +68,33 @@
     }
 
 
+def count_open(port: int) -> int:
+    """Return how many sockets of this process are connected to a port, or were until it closed."""
+    connections = psutil.Process().net_connections("tcp4")
+    return sum(bool(row.raddr) and row.raddr.port == port for row in connections)
+
+
 def main(port: int, seconds: float) -> None:
     weight_http.REQUEST_TIMEOUT_SECONDS = WEIGHTS_SECONDS
     calls = list_calls(Address("127.0.0.1", port))
     running = set(calls)
 
-    stopping = reactor.callLater(seconds, reactor.stop)
+    reactor.callLater(seconds, reactor.stop)
 
     def end(result, name, outcome):
-        print(name, outcome)
+        print(name, outcome, flush=True)
         running.discard(name)
         if not running:
-            stopping.reset(LINGER_SECONDS)
+            # What is due after a time that this process was not run goes before what has arrived.
+            reactor.callLater(CLOSE_SECONDS, reactor.callLater, 0, reactor.callLater, 0, tell_open)
+
+    def tell_open():
+        print("open", count_open(port), flush=True)
+        threading.Thread(target=stop_at_end_of_input, daemon=True).start()
+
+    def stop_at_end_of_input():
+        sys.stdin.read()
+        reactor.callFromThread(reactor.stop)
 
     for name, call in calls.items():
         call().addCallbacks(end, end, callbackArgs=(name, "done"), errbackArgs=(name, "failed"))
--- a/tests/test_endless_control_answers.py
+++ b/tests/test_endless_control_answers.py
@@ -35,7 +35,7 @@
 SEND_BUFFER_BYTES = 64 * 1024
 MOST_SECONDS = 15.0  # above the time limits of all clients
 PROCESS_MOST_SECONDS = 60.0
-LINGER_SECONDS = 1.0  # the clients' process goes on for so long after the last outcome
+SEEN_SECONDS = 5.0  # within which a closed connection is noticed by this process, if it is run
 CLIENT_COUNT = 9
 
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -93,31 +93,48 @@
 
 
 async def play(start: bytes, piece: bytes, pause: float):
-    """Let each client make one call; return the server, the outcomes and when the clients ended."""
+    """Let each client make one call; return the server, the outcomes and when the clients ended.
+
+    The outcome `open` is how many connections the clients had half a second after their own.
+    """
     server = EndlessServer(start, piece, pause)
     listener = await asyncio.start_server(server.serve, "127.0.0.1", 0, limit=FAST_BYTES)
     listener.sockets[0].setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
     port = listener.sockets[0].getsockname()[1]
     process = await asyncio.create_subprocess_exec(
         *(sys.executable, str(HERE / "endless_clients.py"), str(port), str(MOST_SECONDS)),
+        stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
         env={**os.environ, "PYTHONPATH": str(HERE.parent / "platform")},
     )
     try:
-        out, _ = await asyncio.wait_for(process.communicate(), PROCESS_MOST_SECONDS)
+        outcomes = await asyncio.wait_for(read_outcomes(process), PROCESS_MOST_SECONDS)
+        most = time.monotonic() + SEEN_SECONDS
+        while None in server.closed_at and time.monotonic() < most:
+            await asyncio.sleep(0.05)
+        ended_at = time.monotonic()
+        await asyncio.wait_for(process.communicate(b""), PROCESS_MOST_SECONDS)
     except TimeoutError:
         process.kill()
         raise
-    ended_at = time.monotonic()
     listener.close()
-    return server, dict(line.split() for line in out.decode().splitlines()), ended_at
+    return server, outcomes, ended_at
+
+
+async def read_outcomes(process) -> dict[str, str]:
+    """Return the outcomes of the clients up to the last; fewer if their process ends before."""
+    outcomes = {}
+    while "open" not in outcomes and (line := await process.stdout.readline()):
+        name, outcome = line.decode().split()
+        outcomes[name] = outcome
+    return outcomes
 
 
 def check_closed(server, ended_at):
     """Check that the clients closed all connections themselves, not the end of their process."""
     assert len(server.closed_at) == CLIENT_COUNT
     for closed_at in server.closed_at:
-        assert closed_at is not None and closed_at < ended_at - LINGER_SECONDS / 2
+        assert closed_at is not None and closed_at < ended_at
 
 
 DRIBBLES = {
@@ -140,6 +157,7 @@
 def test_control_answer_without_end(kind):
     start, piece = {**HEADS, **BODIES}[kind]
     server, outcomes, ended_at = asyncio.run(play(start, piece, 0.0))
+    left_open = outcomes.pop("open")
     assert len(outcomes) == CLIENT_COUNT
     limit = MAX_CHUNK_BYTES + GROWN_BUFFER_BYTES
     if kind in HEADS:
@@ -148,11 +166,13 @@
     check_closed(server, ended_at)
     if kind != "after an answer":
         assert set(outcomes.values()) == {"failed"}
+        assert left_open == "0"
 
 
 @pytest.mark.parametrize("kind", DRIBBLES)
 def test_control_answer_that_dribbles(kind, dribbles):
     server, outcomes, ended_at = dribbles[kind].result()
+    assert outcomes.pop("open") == "0"
     assert len(outcomes) == CLIENT_COUNT
     assert set(outcomes.values()) == {"failed"}
     check_closed(server, ended_at)
