Keep no bytes that arrive at a closing connection of a caller

A caller that sends on while its connection is closed, and does not read, had all of that kept in memory: for up to 0.25 s where an answer is broken off, and without limit where a whole answer waits to be sent (the transport reads until it has been).

Nothing of it is ever processed, so that it is dropped now.

Evidence: test_bytes_that_arrive_at_a_closing_connection_are_not_kept; both rows failed on the code before (1 MiB sent, 1 MiB kept).

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -227,8 +227,8 @@
         self._set_timeout(self._handler.limits.idle_timeout, self._on_idle_timeout)
 
     def dataReceived(self, data: bytes) -> None:
-        """Process received bytes."""
-        if self._rejected:
+        """Process received bytes; those that arrive once the connection is closing are dropped."""
+        if self._rejected or self._closing:
             return
         self._http.receive_data(data)
         if self._head is None and self._request is None:
