Reset answers that were broken off shortly before the process stops

What callers saw: nothing yet. An answer that is broken off is reset once its caller has received what was written, or 0.25 s later. A process that stopped in between closed the connection in order, with which an answer without chunks (HTTP/1.0) looks complete though it is not.

The entry now resets these connections when it breaks off the others, two turns of the event loop before it stops.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -211,6 +211,7 @@
         self._rejected = False
         self._watching = False
         self._closing = False
+        self._broken_off = False
 
     @property
     def busy(self) -> bool:
@@ -311,7 +312,7 @@
         """
         if self.open and not self._closing:
             self._record_end(Ender.PROCESS, cause, self._has_further_bytes())
-            self._closing = True
+            self._closing = self._broken_off = True
             self._abort_when_received(self._reactor.seconds() + MAX_FLUSH_SECONDS)
         self._request = None
 
@@ -324,6 +325,11 @@
             return
         self._reactor.callLater(FLUSH_CHECK_SECONDS, self._abort_when_received, latest)
 
+    def abort_broken_off(self) -> None:
+        """Abort the connection if its answer was broken off, whatever has been received of it."""
+        if self.open and self._broken_off:
+            self.transport.abortConnection()
+
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or arriving on it."""
         if self.open and self._is_idle():
@@ -527,3 +533,11 @@
         """Close the connections on which no request is in progress."""
         for connection in list(self._connections):
             connection.close_idle()
+
+    def abort_broken_off(self) -> None:
+        """Abort the connections whose answers were broken off, before the process stops.
+
+        Its end closes connections in order, by which an answer without framing looks complete.
+        """
+        for connection in list(self._connections):
+            connection.abort_broken_off()
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -215,6 +215,7 @@
     def stop_role(self) -> None:
         """Break off the responses that are unfinished and stop reading the store."""
         self.gateway.break_off()
+        self._caller_factory.abort_broken_off()
         if self.source is not None:
             self.source.stop()
 
--- a/tests/test_gateway_leaving.py
+++ b/tests/test_gateway_leaving.py
@@ -17,6 +17,7 @@
     make_event,
     make_response,
 )
+from twisted.internet.error import ConnectionLost
 
 from coltsfootshift.gateway.entry_node import GatewayEntry
 from coltsfootshift.gateway.nodes import NodeConfig
@@ -24,6 +25,7 @@
 from coltsfootshift.settings import Address
 
 STOP_WITHIN_SECONDS = 8.0
+STOP_BY_SECONDS = 7.65  # of an entry that stops within that
 STEP_SECONDS = 0.02
 LONG_SECONDS = 60.0
 
@@ -225,6 +227,22 @@
     assert number * 0.1 >= STOP_WITHIN_SECONDS * 5 / 6
 
 
+@pytest.mark.parametrize("left", [0.01, 0.1, 0.2])
+def test_answer_broken_off_before_the_stop_is_reset_by_then(left):
+    """The end of the process closed the connection in order: without chunks, it looked complete."""
+    harness = LeavingHarness(endpoints=1)
+    caller = harness.send_request("once")
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(make_response(chunked=True) + make_chunk(make_event(1)))
+    caller.dataBuffer = b"what the caller does not receive"
+    reset = []
+    harness.clock.stop = lambda: reset.append(caller.aborted)
+    harness.entry.leave()
+    harness.clock.callLater(STOP_BY_SECONDS - left, endpoint.disconnect, ConnectionLost())
+    harness.advance(STOP_WITHIN_SECONDS)
+    assert reset == [True]
+
+
 @pytest.mark.parametrize("taken_at", [5.0, 6.0, None])
 def test_entry_waits_until_its_answers_have_been_sent(taken_at):
     """The process stopped as soon as the last answer was written; its bytes were lost."""
