Let what was passed on go on where it was tried if no other endpoint takes it

What callers saw: a begun answer whose connection was lost, though its engine ran on, waited for one of the other engines, which were full, until its time was over; it was broken off beside free places of the engine that had begun it. A request that was not begun got 502.

Cause: endpoints that were tried are avoided while any other might take the request by its latest time, which is now seconds away.

After 0.5 s, only those are avoided that may be gone (ejected and not seen to be back).

Evidence: test_request_goes_on_where_it_was_tried_if_no_other_endpoint_takes_it; both rows failed on the code before.

--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -70,6 +70,9 @@
 # than another late one: endpoints that fell silent together are soon back.
 UNREACHED_WAIT_SHARE = 1 / 3
 MAX_EXTRA_WAIT_SECONDS = 1.0
+# A request that was passed on waits this long for an endpoint that it has not tried. It is more
+# than the pauses between events that callers accept.
+MAX_AVOID_SECONDS = 0.5
 LOWEST_PRIORITY = 9  # endpoints accept 0, the most urgent, to 9
 # The connections to an endpoint that has ended close within this time.
 LOSS_SETTLE_SECONDS = 0.1
@@ -637,10 +640,18 @@
     def _list_avoided(
         self, exchange: Exchange, states: list[EndpointState], now: float
     ) -> set[InstanceId]:
-        """Return the endpoints that were tried, or none if no other takes the request in time."""
+        """Return the endpoints that were tried, or none if no other takes the request in time.
+
+        If none has taken it for `MAX_AVOID_SECONDS`, only those are avoided that may be gone.
+        """
         if not exchange.tried:
             return set()
         queued = exchange.queue_entry
+        interrupted = queued is not None and queued.turn is Turn.INTERRUPTED
+        waits_since = queued.spent_at if interrupted else None
+        if waits_since is not None and now > waits_since + MAX_AVOID_SECONDS:
+            gone = {state.record.endpoint for state in states if state.ejected}
+            return exchange.tried & gone
         latest = self._find_latest(exchange, states, now) if queued is None else queued.latest
         for state in states:
             if state.record.endpoint not in exchange.tried and state.paused_until <= latest:
--- a/tests/test_gateway_begun_answers.py
+++ b/tests/test_gateway_begun_answers.py
@@ -465,6 +465,23 @@
     assert is_complete(caller)
 
 
+@pytest.mark.parametrize("begun", [True, False], ids=["begun", "not begun"])
+def test_request_goes_on_where_it_was_tried_if_no_other_endpoint_takes_it(begun):
+    """It waited beside free places of its endpoint, which runs on, until its time was over."""
+    harness = EngineHarness()
+    harness.ask("other")  # shows that the engine runs on
+    (caller,) = harness.open(1, 1.5, begun)
+    answer = harness.answers["r-0"]
+    answer.link.disconnect(ConnectionLost())
+    harness.advance(0.4)
+    assert harness.answers["r-0"] is answer and not has_ended(caller)
+    harness.advance(0.3)
+    assert harness.answers["r-0"] is not answer
+    harness.advance(0.5)
+    harness.finish("r-0")
+    assert is_complete(caller)
+
+
 @pytest.mark.parametrize("begun", [True, False], ids=["begun", "not begun"])
 def test_retry_that_waited_is_counted_from_when_it_was_sent(begun):
     """More retries would reach the engines within a window than the budget allows."""
