Write what an answer has left also after the process stood still

What callers saw: nothing yet. If the process stood still for 0.25 s or more right after an answer was broken off, the caller got a reset and no event: the reactor calls what is due before it writes, so that the time to send was over before the first try.

The connection is now reset one turn of the event loop later, in which the reactor writes what it was given.

Evidence: test_events_reach_the_caller_of_an_entry_that_stood_still; both rows failed on the code before (reset, no event received).

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -319,10 +319,14 @@
     def _abort_when_received(self, latest: float) -> None:
         if not self.open:
             return
-        late = self._handler.stopped or self._reactor.seconds() >= latest
-        if late or not (_count_unsent(self.transport) or _count_unacknowledged(self.transport)):
+        unreceived = _count_unsent(self.transport) or _count_unacknowledged(self.transport)
+        if self._handler.stopped or not unreceived:
             self.transport.abortConnection()
             return
+        if self._reactor.seconds() >= latest:
+            # After this process stood still, the reactor has yet to write what it was given before.
+            self._reactor.callLater(0, self.transport.abortConnection)
+            return
         self._reactor.callLater(FLUSH_CHECK_SECONDS, self._abort_when_received, latest)
 
     def abort_broken_off(self) -> None:
--- a/tests/test_gateway_broken_off.py
+++ b/tests/test_gateway_broken_off.py
@@ -149,3 +149,18 @@
     with pytest.raises(ConnectionResetError):
         while caller.recv(65536):
             pass
+
+
+@pytest.mark.parametrize("protocol", ["HTTP/1.1", "HTTP/1.0"])
+def test_events_reach_the_caller_of_an_entry_that_stood_still(harness, protocol):
+    """The time to send them was over before the reactor had written them."""
+    caller, endpoint = harness.call(protocol)
+    (connection,) = harness.factory._connections
+    endpoint.sendall(HEAD + b"".join(make_chunk(event) for event in SHORT_EVENTS) + b"no chunk\r\n")
+    until = time.monotonic() + MAX_SECONDS
+    while not connection._closing and time.monotonic() < until:
+        harness.clock.iterate(0.005)
+    time.sleep(1.2 * callers.MAX_FLUSH_SECONDS)
+    received, error = harness.read(caller)
+    assert [event for event in SHORT_EVENTS if event in received] == SHORT_EVENTS
+    assert error is ConnectionResetError
