Pass an endpoint's failure on if there is no place to run the request again

What callers saw: a request that its endpoint had answered with a status of 500 or more, and that may be repeated, got 502 or 504 of the entry's own if there was no place in time for another run: at once, or after a wait of up to its time-out.

Cause: a request that is refused a place, or ends while it waits, was ended as one without an answer. The endpoint's own answer was sent only if no retry was allowed at all.

The answer is kept until the retry is sent, and is what the caller gets if none is.

Evidence: test_failure_of_an_endpoint_is_passed_on_if_there_is_no_place_to_run_again; both rows failed on the code before (502).

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -180,6 +180,7 @@
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
         self._buffered = bytearray()
+        self._failure: tuple[ResponseHead, bytearray] | None = None
         self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
@@ -230,6 +231,7 @@
         attempt.predicted_seconds = state.predict_start(self.size, now)
         attempt.progressed_at = now + attempt.predicted_seconds
         self._attempt = attempt
+        self._failure = None
         self.tried.add(state.record.endpoint)
         self.possible_runs += 1
         self.arrivals += 1
@@ -414,6 +416,8 @@
         self._close(outcome.reason)
         if self.response_started:
             self._break_off(outcome.reason)
+        elif self._failure is not None:
+            self._send_failure(*self._failure)
         elif self.possible_runs:
             self._owner.send_refusal(self, Unknown(outcome.reason, status=502))
         else:
@@ -467,24 +471,24 @@
     def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
         """Retry at another endpoint if the request is retryable or has not run; else end it.
 
-        With `keep_response`, the buffered response is sent to the caller if there is no retry.
+        With `keep_response`, the buffered response, a failure, is sent to the caller unless there
+        is a retry. It is kept until that is sent.
         """
         attempt.active = False
         self._attempt = None
         self._outbound = None
         buffered = self._discard_partial()
+        if keep_response and attempt.head is not None:
+            self._failure = (attempt.head, buffered)
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
         self._log_failure(attempt, reason, retrying)
         if retrying or self.ended:
             return
-        if keep_response and attempt.head is not None:
-            self._buffered = buffered
-            self._close(f"status {attempt.head.status}")
-            self._send_buffered(attempt.head)
-            return
         self._close(reason)
-        if self.response_started:
+        if self._failure is not None:
+            self._send_failure(*self._failure)
+        elif self.response_started:
             self._break_off(reason)
         elif self.possible_runs > 0:
             self._owner.send_refusal(self, Unknown(reason, status=502))
@@ -531,6 +535,11 @@
         )
         self.incoming.break_off(reason)
 
+    def _send_failure(self, head: ResponseHead, body: bytearray) -> None:
+        """Send the complete failure with which an endpoint answered the latest attempt."""
+        self._buffered = body
+        self._send_buffered(head)
+
     def _send_buffered(self, head: ResponseHead) -> None:
         if self.response_started:
             self._flush_buffered(head)
@@ -559,6 +568,8 @@
         self._close(outcome or reason)
         if self.response_started:
             self._break_off(reason)
+        elif self._failure is not None:
+            self._send_failure(*self._failure)
         elif self.possible_runs > 0:
             self._owner.send_refusal(self, Unknown(reason, status=504))
         else:
--- a/tests/test_gateway_begun_answers.py
+++ b/tests/test_gateway_begun_answers.py
@@ -9,6 +9,7 @@
 import pytest
 from gateway_harness import (
     ENGINE_SPEC,
+    ROUTE_TIMEOUT_SECONDS,
     ROUTES,
     GatewayHarness,
     Transport,
@@ -288,6 +289,30 @@
     assert read_status(caller) == 200
 
 
+@pytest.mark.parametrize("waits", [True, False], ids=["waits", "no place in time"])
+def test_failure_of_an_endpoint_is_passed_on_if_there_is_no_place_to_run_again(waits):
+    """It was replaced by 502 or 504 of the entry's own."""
+    harness = GatewayHarness(endpoints=1)
+    for number in range(PLAIN_PLACES - 1):
+        harness.send_request("book", request=f"f-{number}")
+        harness.accept()
+    caller = harness.send_request("read")
+    endpoint = harness.accept()
+    harness.add_endpoint("e-1", "s", 81)
+    harness.gateway.refresh()
+    for number in range(PLAIN_PLACES + 1):  # the last one takes the place that comes free
+        harness.send_request("book", request=f"g-{number}")
+    if not waits:
+        for state in harness.gateway._states.values():
+            state._work_seconds = 0.97 * ROUTE_TIMEOUT_SECONDS
+    endpoint.protocol.dataReceived(make_response(b"own", status=500))
+    assert read_status(caller) == (0 if waits else 500)
+    for _ in range(round(ROUTE_TIMEOUT_SECONDS / TICK_SECONDS)):
+        harness.clock.advance(TICK_SECONDS)
+        harness.confirm()
+    assert read_status(caller) == 500 and caller.value().endswith(b"own")
+
+
 @pytest.mark.parametrize("route", ["model", "plain"])
 @pytest.mark.parametrize("left", [0.04, WHOLE_SECONDS - 0.1], ids=lambda left: f"{left:.2f} s left")
 def test_what_cannot_be_finished_ends_at_once(left, route):
