--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -32,11 +32,15 @@
 
 logger = get_logger("gateway.callers")
 
+HANDLING_FAILED = "its handling failed"
 MAX_CAUSE_CHARACTERS = 200
 # Before a connection is reset, its caller is given this long to receive what was written. An answer
 # whose time is over has to end within a quarter of a second.
 MAX_FLUSH_SECONDS = 0.2
 FLUSH_CHECK_SECONDS = 0.01
+# A caller is not read on if it has sent more than this behind its request in progress. As its
+# leaving can't be noticed then, a short request or two that were sent ahead are below it.
+MAX_READ_AHEAD_BYTES = 64 * 1024
 
 _REASON_PHRASES = {
     200: b"OK",
@@ -81,10 +85,11 @@
 class IncomingRequest:
     """A complete request of a caller, with the methods to respond to it.
 
-    `on_disconnect` is called once if the caller's connection is lost before the response is
-    finished. `on_blocked` is called when more of the response waits to be sent than the transport
-    holds, and `on_unblocked` when all of it has been sent. `arrived_at` is in seconds of the
-    reactor's clock; `connection_reused` is set if the connection has carried a request before.
+    `on_disconnect` is called once, with what happened, if the caller's connection is lost before
+    the response is finished, or if the handling of the request has failed. `on_blocked` is called
+    when more of the response waits to be sent than the transport holds, and `on_unblocked` when all
+    of it has been sent. `arrived_at` is in seconds of the reactor's clock; `connection_reused` is
+    set if the connection has carried a request before.
     `request` is the id that the caller has given it, empty until it is known.
     """
 
@@ -96,7 +101,7 @@
         self.headers = head.headers
         self.body = body
         self.arrived_at = arrived_at
-        self.on_disconnect: Callable[[], None] | None = None
+        self.on_disconnect: Callable[[str], None] | None = None
         self.on_blocked: Callable[[], None] | None = None
         self.on_unblocked: Callable[[], None] | None = None
         self.request = ""
@@ -147,12 +152,14 @@
 
     def fail(self) -> None:
         """Respond to a request whose handling failed; whether it has run is unknown."""
-        if self.on_disconnect is not None:
-            self.on_disconnect()
-        if self.head_sent:
-            self.break_off("its handling failed")
-        else:
-            self.respond(502, [], b"")
+        try:
+            if self.on_disconnect is not None:
+                self.on_disconnect(HANDLING_FAILED)
+        finally:
+            if not self.head_sent:
+                self.respond(502, [], b"")
+            elif self._connection.is_handling(self):
+                self.break_off(HANDLING_FAILED)
 
     def break_off(self, cause: str) -> None:
         """Reset the connection, so that the caller cannot treat the response as complete."""
@@ -201,8 +208,7 @@
             h11.SERVER, max_incomplete_event_size=handler.limits.header_bytes
         )
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._body = bytearray()
         self._request: IncomingRequest | None = None
         self._latest: IncomingRequest | None = None
         self._answer_bytes = 0
@@ -212,6 +218,7 @@
         self._watching = False
         self._closing = False
         self._broken_off = False
+        self._unread = False
 
     @property
     def busy(self) -> bool:
@@ -220,6 +227,10 @@
             return False
         return self._closing or not self._is_idle()
 
+    def is_handling(self, request: IncomingRequest) -> bool:
+        """Return whether the response to a request is not complete yet."""
+        return self._request is request
+
     def connectionMade(self) -> None:
         """Wait for the first request."""
         self.open = True
@@ -232,6 +243,7 @@
         if self._rejected or self._closing:
             return
         self._http.receive_data(data)
+        self._limit_read_ahead()
         if self._head is None and self._request is None:
             self._set_timeout(self._handler.limits.header_timeout, self._on_header_timeout)
         self._read_events()
@@ -243,7 +255,7 @@
         self._record_loss(reason)
         request, self._request = self._request, None
         if request is not None and not request.finished and request.on_disconnect is not None:
-            request.on_disconnect()
+            request.on_disconnect("caller gone")
 
     def send_head(self, status: int, headers: Headers) -> None:
         """Send the status and headers of the response in progress."""
@@ -288,6 +300,7 @@
             return
         self._http.start_next_cycle()
         self._head = None
+        self._read_on()
         if self._handler.closing and not self._has_further_bytes():
             self._close_when_sent()
             return
@@ -392,6 +405,19 @@
             logger.info("caller connection failed", extra={"cause": str(error)})
             return False
 
+    def _limit_read_ahead(self) -> None:
+        """Stop reading until the response in progress has ended if much was sent behind it."""
+        if self._request is None or self._unread:
+            return
+        if len(self._http.trailing_data[0]) > MAX_READ_AHEAD_BYTES:
+            self._unread = True
+            self.transport.pauseProducing()
+
+    def _read_on(self) -> None:
+        if self._unread:
+            self._unread = False
+            self.transport.resumeProducing()
+
     def _close_when_sent(self) -> None:
         self._closing = True
         self.transport.loseConnection()
@@ -427,19 +453,17 @@
     def _handle_event(self, event: Any) -> None:
         if isinstance(event, h11.Request):
             self._head = event
-            self._body = []
-            self._body_bytes = 0
+            self._body = bytearray()
             return
         if isinstance(event, h11.Data):
-            self._body.append(bytes(event.data))
-            self._body_bytes += len(event.data)
-            if self._body_bytes > self._handler.limits.body_bytes:
+            self._body += event.data
+            if len(self._body) > self._handler.limits.body_bytes:
                 self._reject(413)
             return
         if isinstance(event, h11.EndOfMessage) and self._head is not None:
             self._cancel_timeout()
-            body = b"".join(self._body)
-            self._body = []
+            body = bytes(self._body)
+            self._body = bytearray()
             if self._is_closed_by_caller():
                 self.abort(Ender.CALLER, "closed before the request was handled")
                 return
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from coltsfootshift.gateway.callers import IncomingRequest
 from coltsfootshift.gateway.calls import ResponseHead
 from coltsfootshift.gateway.checks import Admission
 from coltsfootshift.gateway.events import EventStreamBuffer
+from coltsfootshift.gateway.holding import HeldBody, HeldBytes
 from coltsfootshift.gateway.links import ResponseReceiver
 from coltsfootshift.gateway.model import Route, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, WorkSize
@@ -31,13 +33,19 @@
 # Callers rely on these statuses as a guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
+Result = TypeVar("Result")
+
 logger = get_logger("gateway.exchange")
 
 
 class ExchangeOwner(ABC):
-    """Schedules the attempts of exchanges and sends the gateway's own responses."""
+    """Schedules the attempts of exchanges and sends the gateway's own responses.
+
+    `held_bytes` counts what all exchanges hold of their responses.
+    """
 
     reactor: Any
+    held_bytes: HeldBytes
 
     @abstractmethod
     def reschedule(self, exchange: Exchange) -> bool:
@@ -136,19 +144,19 @@
     def head_received(self, head: ResponseHead) -> None:
         if self.active:
             self.head = head
-            self._exchange.handle_head(self, head)
+            self._exchange.guard(self._exchange.handle_head, self, head)
 
     def body_received(self, data: bytes) -> None:
         if self.active:
-            self._exchange.handle_data(self, data)
+            self._exchange.guard(self._exchange.handle_data, self, data)
 
     def response_completed(self) -> None:
         if self.active:
-            self._exchange.handle_end(self)
+            self._exchange.guard(self._exchange.handle_end, self)
 
     def attempt_failed(self, reason: str, sent: bool) -> None:
         if self.active:
-            self._exchange.handle_failure(self, reason, sent)
+            self._exchange.guard(self._exchange.handle_failure, self, reason, sent)
 
 
 class Exchange:
@@ -179,13 +187,14 @@
         self._outbound: Any = None
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
-        self._buffered = bytearray()
-        self._failure: tuple[ResponseHead, bytearray] | None = None
+        self._held = HeldBody(owner.held_bytes, MAX_BUFFERED_BYTES)
+        # The head of a complete failure, whose body is held back until the retry is sent.
+        self._failure: ResponseHead | None = None
         self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
-            max(0.0, admission.expires_at - reactor.seconds()), self._on_deadline
+            max(0.0, admission.expires_at - reactor.seconds()), self.guard, self._on_deadline
         )
         incoming.on_disconnect = self._on_caller_disconnect
         incoming.on_blocked = self._on_caller_blocked
@@ -223,6 +232,19 @@
         passed = engine.stride * self._event_buffer.event_count
         return WorkSize(self.size.prompt, max(0, self.size.answer - passed))
 
+    def guard(self, handle: Callable[..., Result], *args: Any) -> Result | None:
+        """Return the result of a function that handles this request, or None if it fails.
+
+        The caller is then told at once: the events that a failed function has dealt with do not
+        come again.
+        """
+        try:
+            return handle(*args)
+        except Exception:
+            logger.exception("request not handled", extra={"request": self.request})
+            self.incoming.fail()
+            return None
+
     def start_attempt(self, state: EndpointState) -> ResponseReceiver:
         """Start an attempt at an endpoint; the owner then calls `set_outbound`."""
         now = self._owner.reactor.seconds()
@@ -231,7 +253,9 @@
         attempt.predicted_seconds = state.predict_start(self.size, now)
         attempt.progressed_at = now + attempt.predicted_seconds
         self._attempt = attempt
-        self._failure = None
+        if self._failure is not None:
+            self._failure = None
+            self._held.discard()
         self.tried.add(state.record.endpoint)
         self.possible_runs += 1
         self.arrivals += 1
@@ -347,11 +371,11 @@
             if self._event_buffer.overlong:
                 self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
-        self._buffered += data
-        if len(self._buffered) <= MAX_BUFFERED_BYTES:
+        self._held.add(data)
+        if not self._held.overlong and not self.response_started:
             return
         if head.sealed:
-            self._flush_buffered(head)
+            self._pass_on_held(head)
         else:
             reason = f"status {head.status} with too long a body"
             self._fail_attempt(attempt, reason, attempt.last_received_at)
@@ -388,8 +412,9 @@
             attempt.state.record_success(self.request, now)
         else:
             attempt.state.record_failure(self.request, now)
+        body = self._held.take()
         self._close(f"status {head.status}")
-        self._send_buffered(head)
+        self._send_rest(head, body)
 
     def handle_failure(self, attempt: _Attempt, reason: str, sent: bool) -> None:
         """Handle an attempt without a complete response."""
@@ -413,11 +438,12 @@
         """End the exchange; the outcome is unknown if an earlier attempt may have run."""
         if self.ended:
             return
+        if self._failure is not None:
+            self._send_failure(self._failure, outcome.reason)
+            return
         self._close(outcome.reason)
         if self.response_started:
             self._break_off(outcome.reason)
-        elif self._failure is not None:
-            self._send_failure(*self._failure)
         elif self.possible_runs:
             self._owner.send_refusal(self, Unknown(outcome.reason, status=502))
         else:
@@ -471,24 +497,26 @@
     def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
         """Retry at another endpoint if the request is retryable or has not run; else end it.
 
-        With `keep_response`, the buffered response, a failure, is sent to the caller unless there
-        is a retry. It is kept until that is sent.
+        With `keep_response`, the response that is held back, a failure, is sent to the caller
+        unless there is a retry. It is kept until that is sent.
         """
         attempt.active = False
         self._attempt = None
         self._outbound = None
-        buffered = self._discard_partial()
-        if keep_response and attempt.head is not None:
-            self._failure = (attempt.head, buffered)
+        if keep_response:
+            self._failure = attempt.head
+        else:
+            self._discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
         self._log_failure(attempt, reason, retrying)
         if retrying or self.ended:
             return
-        self._close(reason)
         if self._failure is not None:
-            self._send_failure(*self._failure)
-        elif self.response_started:
+            self._send_failure(self._failure, reason)
+            return
+        self._close(reason)
+        if self.response_started:
             self._break_off(reason)
         elif self.possible_runs > 0:
             self._owner.send_refusal(self, Unknown(reason, status=502))
@@ -497,11 +525,10 @@
                 self, NotRun(reason, retry_after=self._owner.draw_retry_after(self))
             )
 
-    def _discard_partial(self) -> bytearray:
-        """Discard what was not sent to the caller; return the buffered part of a plain response."""
-        buffered, self._buffered = self._buffered, bytearray()
+    def _discard_partial(self) -> None:
+        """Discard what was not sent to the caller."""
+        self._held.discard()
         self._event_buffer.discard_partial()
-        return buffered
 
     def _log_failure(self, attempt: _Attempt, reason: str, retrying: bool) -> None:
         begun_at = attempt.begun_at
@@ -535,23 +562,28 @@
         )
         self.incoming.break_off(reason)
 
-    def _send_failure(self, head: ResponseHead, body: bytearray) -> None:
-        """Send the complete failure with which an endpoint answered the latest attempt."""
-        self._buffered = body
-        self._send_buffered(head)
+    def _send_failure(self, head: ResponseHead, outcome: str) -> None:
+        """End with the failure that an endpoint answered before the request was to run again."""
+        body = self._held.take()
+        self._close(outcome)
+        self._send_rest(head, body)
 
-    def _send_buffered(self, head: ResponseHead) -> None:
+    def _send_rest(self, head: ResponseHead, body: bytes) -> None:
+        """End the response with what was held back of it."""
         if self.response_started:
-            self._flush_buffered(head)
+            self.incoming.write(body)
             self.incoming.finish()
             return
-        self.incoming.respond(head.status, head.forwarded_headers, bytes(self._buffered))
+        self.incoming.respond(head.status, head.forwarded_headers, body)
 
-    def _flush_buffered(self, head: ResponseHead) -> None:
+    def _pass_on_held(self, head: ResponseHead) -> None:
+        """Send the caller what has been held back; from then on the body is sent as it arrives."""
         if not self.response_started:
             self.incoming.start_stream(head.status, head.forwarded_headers)
-        self.incoming.write(bytes(self._buffered))
-        self._buffered.clear()
+        data = self._held.take()
+        self.incoming.write(data)
+        if self._blocked:
+            self._held.keep_unsent(len(data))
 
     def _on_deadline(self) -> None:
         """End the exchange when the caller's deadline or the route's timeout has passed."""
@@ -565,21 +597,22 @@
         if self.ended:
             return
         self._cancel_attempt()
+        if self._failure is not None:
+            self._send_failure(self._failure, outcome or reason)
+            return
         self._close(outcome or reason)
         if self.response_started:
             self._break_off(reason)
-        elif self._failure is not None:
-            self._send_failure(*self._failure)
         elif self.possible_runs > 0:
             self._owner.send_refusal(self, Unknown(reason, status=504))
         else:
             self._owner.send_refusal(self, NotRun(reason, retry_after=0.0))
 
-    def _on_caller_disconnect(self) -> None:
-        """Cancel everything in progress when the caller has disconnected."""
+    def _on_caller_disconnect(self, outcome: str) -> None:
+        """Cancel everything in progress when the caller has disconnected, or after a fault."""
         if not self.ended:
             self._cancel_attempt()
-            self._close("caller gone")
+            self._close(outcome)
 
     def _on_caller_blocked(self) -> None:
         """Let the rest of the response wait at the endpoint while the caller is slow."""
@@ -589,6 +622,7 @@
 
     def _on_caller_unblocked(self) -> None:
         self._blocked = False
+        self._held.release_unsent()
         if self._attempt is not None:
             self._attempt.record_progress(self._owner.reactor.seconds())
         if self._outbound is not None:
@@ -613,6 +647,8 @@
             return
         self.ended = True
         self._attempt = None
+        self._held.discard()
+        self._held.release_unsent()
         if self._deadline_timer.active():
             self._deadline_timer.cancel()
         self._owner.record_end(self, outcome)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -37,6 +37,7 @@
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
+from coltsfootshift.gateway.holding import HeldBytes
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
@@ -129,6 +130,7 @@
         self.reactor = reactor
         self.tables = tables
         self.metrics = metrics
+        self.held_bytes = HeldBytes()
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
         self._stop_schedule: StopSchedule | None = None
@@ -165,6 +167,7 @@
         self._loop = LoopingCall(self._tick)
         self._loop.clock = reactor
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
+        metrics.add_gauge("answer_bytes_held", lambda: float(self.held_bytes.size))
         metrics.add_gauge("exchanges_waiting", self._count_waiting)
         metrics.add_gauge(
             "links_dialled", lambda: float(sum(p.dialled for p in self._pools.values()))
@@ -314,17 +317,19 @@
         now = self.reactor.seconds()
         if self._may_end_endpoints(exchange, now):
             self.metrics.count("retries_of_suspects")
-            return False
+            return _log_no_retry(exchange, "endpoints may end under it")
         states = self._list_candidates(exchange, now)
         if not states and self._find_turn(exchange) is Turn.INTERRUPTED:
             states = self._list_loading(exchange, now)
-        if not states or self._is_unreachable(exchange, states, now):
-            return False
+        if not states:
+            return _log_no_retry(exchange, "no endpoint can serve it")
+        if self._is_unreachable(exchange, states, now):
+            return _log_no_retry(exchange, "no endpoint has been reached in time")
         # A request that has reached no endpoint is not sent again, but for the first time.
         spends = exchange.arrivals > 0
         if spends and not self._budget.try_spend(exchange.service.name, now):
             self.metrics.count("retries_over_budget")
-            return False
+            return _log_no_retry(exchange, "the retry budget is spent")
         self.metrics.count("retries")
         if not self._place(exchange, now):
             self._enqueue(exchange, now, spent_at=now if spends else None)
@@ -815,12 +820,12 @@
             estimate_pause = partial(self._estimate_pause, now=now)
         for queue in self._queues.values():
             for queued, refusal in list(queue.expire(now, estimate_pause)):
-                queued.item.refuse(refusal)
+                queued.item.guard(queued.item.refuse, refusal)
         if self._stop_schedule is not None:
             self._refuse_outlasting(self._stop_schedule, now)
         self._end_stranded(now)
         for exchange in list(self._exchanges):
-            exchange.check_stall(now)
+            exchange.guard(exchange.check_stall, now)
         self._withdraw_outdated(now)
         if now - self._pools_checked_at >= POOL_CHECK_SECONDS:
             self._pools_checked_at = now
@@ -847,7 +852,7 @@
                 min_versions[model] = self._find_min_version(
                     exchange, now, WITHDRAWAL_MARGIN_SECONDS
                 )
-            exchange.withdraw_outdated(min_versions[model], now)
+            exchange.guard(exchange.withdraw_outdated, min_versions[model], now)
 
     def _restart(self, failure: Failure) -> None:
         """Log a failure of the periodic task, and start it again: all requests depend on it."""
@@ -891,7 +896,7 @@
         passed = None
         has_place = self._has_place(name, now)
         while has_place and (queued := queue.peek(passed)) is not None and queued.turn <= last:
-            if self._place(queued.item, now):
+            if queued.item.guard(self._place, queued.item, now):
                 queued.open = False
                 queued.item.queue_entry = None
                 if queued.spent_at is not None:
@@ -952,6 +957,12 @@
         return round(age, 2) if isfinite(age) else None
 
 
+def _log_no_retry(exchange: Exchange, cause: str) -> bool:
+    """Log why a failed request is not sent again; return False."""
+    logger.info("request not retried", extra={"request": exchange.request, "cause": cause})
+    return False
+
+
 def _predict_duration(exchange: Exchange, state: EndpointState, now: float) -> float:
     """Return the expected seconds from sending to the end of a response.
 
