Continue no failure that was passed on in part with another answer

What callers saw: nothing yet. A request for a stream that may go on elsewhere was sent again after its endpoint had answered with a failure (500 or more) whose body is too long to be held back (1 MiB, or 16 KiB while this process holds much). The caller already had part of that body: the events of the next attempt followed, and the answer ended as if it were complete.

Cause: what had been passed on was taken for events, behind which another endpoint may go on.

Evidence: test_failure_that_was_passed_on_in_part_is_not_continued_with_another_answer; 2 of its 4 rows (both of the stream) failed on the code before.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -578,6 +578,7 @@
 
     def _pass_on_held(self, head: ResponseHead) -> None:
         """Send the caller what has been held back; from then on the body is sent as it arrives."""
+        self._event_buffer.resumable = False  # the rest of a failure is no stream of events
         if not self.response_started:
             self.incoming.start_stream(head.status, head.forwarded_headers)
         data = self._held.take()
--- a/tests/test_gateway_broken_answers.py
+++ b/tests/test_gateway_broken_answers.py
@@ -8,9 +8,12 @@
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
+from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES
+
 REFUSAL = make_response(status=503, headers=("X-Not-Executed: 1",), sealed=False)
 WHOLE = make_response(b"whole")
 UNFRAMED = make_response(b"").replace(b"Content-Length: 0\r\n", b"")
+BLOCK = b"x" * 65536
 CUTS = [len(b"HTTP/1.1 200 X"), WHOLE.index(b"Attempt"), WHOLE.index(b"seal-1") + 3]
 CUTS += [WHOLE.index(b"5\r\n\r\n") + size for size in range(5)]
 
@@ -178,3 +181,22 @@
         endpoint.disconnect(ConnectionDone())
     (line,) = [row for row in caplog.records if row.message == "order failed"]
     assert line.cause == cause
+
+
+@pytest.mark.parametrize("whole", [True, False], ids=["whole", "cut"])
+@pytest.mark.parametrize("route", ["read", "talk"])
+def test_failure_that_was_passed_on_in_part_is_not_continued_with_another_answer(route, whole):
+    """The events of another attempt followed its bytes, and the answer looked complete."""
+    harness = GatewayHarness(endpoints=2)
+    caller = harness.send_request(route)
+    endpoint = harness.accept()
+    endpoint.protocol.dataReceived(make_response(status=500, chunked=True))
+    for _ in range(MAX_BUFFERED_BYTES // len(BLOCK) + 1):
+        endpoint.protocol.dataReceived(make_chunk(BLOCK))
+    if whole:
+        endpoint.protocol.dataReceived(make_chunk(b""))
+    else:
+        endpoint.disconnect(ConnectionLost())
+    assert read_status(caller) == 500 and harness.accept() is None
+    assert caller.aborted is not whole
+    assert caller.value().endswith(make_chunk(b"")) is whole
