--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -34,9 +34,9 @@
 
 HANDLING_FAILED = "its handling failed"
 MAX_CAUSE_CHARACTERS = 200
-# Before a connection is reset, its caller is given this long to receive what was written. The end
-# of an answer whose time is over must reach it within half a second.
-MAX_FLUSH_SECONDS = 0.25
+# Before a connection is reset, its caller is given this long to receive what was written. An answer
+# whose time is over has to end within a quarter of a second.
+MAX_FLUSH_SECONDS = 0.2
 FLUSH_CHECK_SECONDS = 0.01
 # A caller is not read on if it has sent more than this behind its request in progress. As its
 # leaving can't be noticed then, a short request or two that were sent ahead are below it.
@@ -217,6 +217,7 @@
         self._rejected = False
         self._watching = False
         self._closing = False
+        self._broken_off = False
         self._unread = False
 
     @property
@@ -238,8 +239,8 @@
         self._set_timeout(self._handler.limits.idle_timeout, self._on_idle_timeout)
 
     def dataReceived(self, data: bytes) -> None:
-        """Process received bytes."""
-        if self._rejected:
+        """Process received bytes; those that arrive once the connection is closing are dropped."""
+        if self._rejected or self._closing:
             return
         self._http.receive_data(data)
         self._limit_read_ahead()
@@ -324,19 +325,28 @@
         """
         if self.open and not self._closing:
             self._record_end(Ender.PROCESS, cause, self._has_further_bytes())
-            self._closing = True
+            self._closing = self._broken_off = True
             self._abort_when_received(self._reactor.seconds() + MAX_FLUSH_SECONDS)
         self._request = None
 
     def _abort_when_received(self, latest: float) -> None:
         if not self.open:
             return
-        late = self._handler.stopped or self._reactor.seconds() >= latest
-        if late or not (_count_unsent(self.transport) or _count_unacknowledged(self.transport)):
+        unreceived = _count_unsent(self.transport) or _count_unacknowledged(self.transport)
+        if self._handler.stopped or not unreceived:
             self.transport.abortConnection()
             return
+        if self._reactor.seconds() >= latest:
+            # After this process stood still, the reactor has yet to write what it was given before.
+            self._reactor.callLater(0, self.transport.abortConnection)
+            return
         self._reactor.callLater(FLUSH_CHECK_SECONDS, self._abort_when_received, latest)
 
+    def abort_broken_off(self) -> None:
+        """Abort the connection if its answer was broken off, whatever has been received of it."""
+        if self.open and self._broken_off:
+            self.transport.abortConnection()
+
     def close_idle(self) -> None:
         """Close the connection if no request is in progress or arriving on it."""
         if self.open and self._is_idle():
@@ -551,3 +561,11 @@
         """Close the connections on which no request is in progress."""
         for connection in list(self._connections):
             connection.close_idle()
+
+    def abort_broken_off(self) -> None:
+        """Abort the connections whose answers were broken off, before the process stops.
+
+        Its end closes connections in order, by which an answer without framing looks complete.
+        """
+        for connection in list(self._connections):
+            connection.abort_broken_off()
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -188,6 +188,8 @@
         self._attempt: _Attempt | None = None
         self._event_buffer = EventStreamBuffer(admission.head.resume_after)
         self._held = HeldBody(owner.held_bytes, MAX_BUFFERED_BYTES)
+        # The head of a complete failure, whose body is held back until the retry is sent.
+        self._failure: ResponseHead | None = None
         self._blocked = False
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
@@ -251,6 +253,9 @@
         attempt.predicted_seconds = state.predict_start(self.size, now)
         attempt.progressed_at = now + attempt.predicted_seconds
         self._attempt = attempt
+        if self._failure is not None:
+            self._failure = None
+            self._held.discard()
         self.tried.add(state.record.endpoint)
         self.possible_runs += 1
         self.arrivals += 1
@@ -433,6 +438,9 @@
         """End the exchange; the outcome is unknown if an earlier attempt may have run."""
         if self.ended:
             return
+        if self._failure is not None:
+            self._send_failure(self._failure, outcome.reason)
+            return
         self._close(outcome.reason)
         if self.response_started:
             self._break_off(outcome.reason)
@@ -489,21 +497,23 @@
     def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
         """Retry at another endpoint if the request is retryable or has not run; else end it.
 
-        With `keep_response`, the buffered response is sent to the caller if there is no retry.
+        With `keep_response`, the response that is held back, a failure, is sent to the caller
+        unless there is a retry. It is kept until that is sent.
         """
         attempt.active = False
         self._attempt = None
         self._outbound = None
-        held = self._held.take() if keep_response else b""
-        self._discard_partial()
+        if keep_response:
+            self._failure = attempt.head
+        else:
+            self._discard_partial()
         allowed = self.possible_runs <= 0 or self._may_retry()
         retrying = allowed and self._owner.reschedule(self)
         self._log_failure(attempt, reason, retrying)
         if retrying or self.ended:
             return
-        if keep_response and attempt.head is not None:
-            self._close(f"status {attempt.head.status}")
-            self._send_rest(attempt.head, held)
+        if self._failure is not None:
+            self._send_failure(self._failure, reason)
             return
         self._close(reason)
         if self.response_started:
@@ -552,6 +562,12 @@
         )
         self.incoming.break_off(reason)
 
+    def _send_failure(self, head: ResponseHead, outcome: str) -> None:
+        """End with the failure that an endpoint answered before the request was to run again."""
+        body = self._held.take()
+        self._close(outcome)
+        self._send_rest(head, body)
+
     def _send_rest(self, head: ResponseHead, body: bytes) -> None:
         """End the response with what was held back of it."""
         if self.response_started:
@@ -562,6 +578,7 @@
 
     def _pass_on_held(self, head: ResponseHead) -> None:
         """Send the caller what has been held back; from then on the body is sent as it arrives."""
+        self._event_buffer.resumable = False  # the rest of a failure is no stream of events
         if not self.response_started:
             self.incoming.start_stream(head.status, head.forwarded_headers)
         data = self._held.take()
@@ -581,6 +598,9 @@
         if self.ended:
             return
         self._cancel_attempt()
+        if self._failure is not None:
+            self._send_failure(self._failure, outcome or reason)
+            return
         self._close(outcome or reason)
         if self.response_started:
             self._break_off(reason)
