--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -890,19 +890,17 @@
         An interrupted request that avoids endpoints, or needs a version, holds up no others.
         """
         queue = self._queues.get(name)
-        if queue is None or queue.peek() is None:
+        if queue is None:
             return
         now = self.reactor.seconds()
         passed = None
-        has_place = self._has_place(name, now)
-        while has_place and (queued := queue.peek(passed)) is not None and queued.turn <= last:
+        while (queued := queue.peek(passed)) is not None and queued.turn <= last:
             if queued.item.guard(self._place, queued.item, now):
                 queued.open = False
                 queued.item.queue_entry = None
                 if queued.spent_at is not None:
                     self._budget.postpone(name, queued.spent_at, now)
-                has_place = self._has_place(name, now)
-            elif queued.turn is Turn.INTERRUPTED:
+            elif queued.turn is Turn.INTERRUPTED and self._has_place(name, now):
                 passed = queued
             else:
                 return
