--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -823,7 +823,7 @@
                 queued.item.guard(queued.item.refuse, refusal)
         if self._stop_schedule is not None:
             self._refuse_outlasting(self._stop_schedule, now)
-        self._end_stranded(now)
+        self._end_without_version(now)
         for exchange in list(self._exchanges):
             exchange.guard(exchange.check_stall, now)
         self._withdraw_outdated(now)
@@ -869,7 +869,7 @@
             if not any(schedule.allows_start(duration, now) for duration in durations):
                 exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
 
-    def _end_stranded(self, now: float) -> None:
+    def _end_without_version(self, now: float) -> None:
         """End the waiting answers that nothing can go on with, as their version is gone."""
         for exchange in list(self._exchanges):
             if exchange.queue_entry is None or exchange.version is None:
