Handle a bounded number of an answer's chunks in a turn of the reactor

What callers saw (earlier trials, docs/FINDINGS.md): beside 20 answers without end in chunks of 2 bytes, all of one faulty endpoint, callers of a sound one waited for seconds; beside 100 more than 10 s.

Cause: each chunk costs an event of h11. One read of 64 KiB holds some 9,000 of them, all were handled at once, and each connection that is ready is read in every turn of the reactor.

Why it works: a connection handles at most 128 events in a turn. The rest of its read waits in the line of its endpoint, from which one connection at a time handles 128 more every 4 ms; it is not read on before its rest is handled, so that the transport holds the endpoint back. What was read before a connection ended is still handled before its end. This pause and that for a slow caller are kept apart.

test_body_of_tiny_chunks_is_held_in_little_memory sent to a connection that isn't read any more; it now lets time pass until the connection is read again, and checks that it is still open.

--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -34,6 +34,10 @@
 MAX_DRAIN_SECONDS = 1.0
 RESPONSE_START = b"HTTP/"
 MAX_INFORMATIONAL_RESPONSES = 8  # requests ask for none; an endpoint may send a few unasked
+# A read of 64 KiB may hold some 9,000 chunks of 2 bytes, each of which is an event of h11.
+MAX_EVENTS_PER_TURN = 128
+# Between two portions of the events that an endpoint has sent beyond that, on all its connections.
+BACKLOG_PAUSE_SECONDS = 0.004
 
 
 class ResponseReceiver(ABC):
@@ -88,7 +92,8 @@
     """A connection to an endpoint, which carries one request at a time.
 
     The connection is aborted on bytes that belong to no request, on a response that names another
-    request, and on invalid framing.
+    request, and on invalid framing. At most `MAX_EVENTS_PER_TURN` events are handled in a turn of
+    the reactor; while more have arrived, the backlog, nothing is read.
     """
 
     transport: Any
@@ -105,6 +110,7 @@
         self._keep_alive = MAX_IDLE_SECONDS
         self._lost = False
         self._paused = False
+        self._backlogged = False
 
     def connectionMade(self) -> None:
         """Detect a dead peer by unacknowledged bytes, and by probes if there are none.
@@ -167,6 +173,10 @@
         """Read on after a pause."""
         if self._paused and not self._lost:
             self._paused = False
+            self._read_on()
+
+    def _read_on(self) -> None:
+        if not (self._paused or self._backlogged or self._lost):
             self.transport.resumeProducing()
 
     def drain(self) -> None:
@@ -187,7 +197,8 @@
                 self._abort()
                 return
         self._http.receive_data(data)
-        self._read_events()
+        if not self._backlogged:
+            self._read_events()
         if self._http.their_state is h11.SEND_RESPONSE and self._head_timer is None:
             self._limit_head_time()
 
@@ -199,6 +210,8 @@
         """
         self._lost = True
         self._cancel_head_timer()
+        if self._backlogged:
+            self._read_all_events()
         if reason.check(connectionDone.type):
             self._end_response()
         self._fail(f"connection lost: {reason.getErrorMessage()}")
@@ -214,29 +227,59 @@
             self._fail(f"connection closed {place}")
             return
         self._http.receive_data(b"")
-        self._read_events()
+        self._read_all_events()
+
+    def read_backlog(self) -> None:
+        """Handle the next events of the backlog, and read on once it is empty."""
+        if not self._backlogged:
+            return
+        self._backlogged = False
+        try:
+            self._read_events()
+        except Exception:
+            self._abort()  # as the reactor does after an error in `dataReceived`
+            raise
+        self._read_on()
 
     def _read_events(self) -> None:
-        while self._receiver is not None:
-            try:
-                event = self._http.next_event()
-            except h11.RemoteProtocolError as error:
-                self._fail(f"no HTTP answer: {error}")
-                self._abort()
-                return
-            if event is h11.NEED_DATA or event is h11.PAUSED:
-                return
-            if isinstance(event, h11.Response):
-                self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                self._receiver.body_received(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._handle_end()
-            elif isinstance(event, h11.InformationalResponse):
-                self._handle_informational()
-            elif isinstance(event, h11.ConnectionClosed):
-                self._fail("connection closed before an answer")
+        """Handle the events that have arrived; leave those beyond the limit to later turns."""
+        for _ in range(MAX_EVENTS_PER_TURN):
+            if not self._read_event():
                 return
+        if self._receiver is not None and not self._lost:
+            self._backlogged = True
+            self.transport.pauseProducing()
+            self._pool.add_backlogged(self)
+
+    def _read_all_events(self) -> None:
+        self._backlogged = False
+        while self._read_event():
+            continue
+
+    def _read_event(self) -> bool:
+        """Handle the next event that has arrived; return whether there was one."""
+        if self._receiver is None:
+            return False
+        try:
+            event = self._http.next_event()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"no HTTP answer: {error}")
+            self._abort()
+            return False
+        if event is h11.NEED_DATA or event is h11.PAUSED:
+            return False
+        if isinstance(event, h11.Response):
+            self._handle_head(event)
+        elif isinstance(event, h11.Data):
+            self._receiver.body_received(bytes(event.data))
+        elif isinstance(event, h11.EndOfMessage):
+            self._handle_end()
+        elif isinstance(event, h11.InformationalResponse):
+            self._handle_informational()
+        elif isinstance(event, h11.ConnectionClosed):
+            self._fail("connection closed before an answer")
+            return False
+        return True
 
     def _limit_head_time(self) -> None:
         """Start the time within which a head has to be complete, unless none has begun."""
@@ -445,6 +488,8 @@
         self._source = source
         self._idle: deque[EndpointConnection] = deque()
         self._established: set[EndpointConnection] = set()
+        self._backlogged: deque[EndpointConnection] = deque()
+        self._backlog_timer: Any = None
         self._open = 0
 
     def __repr__(self) -> str:
@@ -501,12 +546,33 @@
         """Make a connection available for the next request."""
         self._idle.append(connection)
 
+    def add_backlogged(self, connection: EndpointConnection) -> None:
+        """Let a connection read its backlog after those that already wait for that.
+
+        They take turns at intervals, so that the backlogs of many connections take no more of the
+        processor's time than that of one.
+        """
+        self._backlogged.append(connection)
+        self._schedule_backlog()
+
+    def _schedule_backlog(self) -> None:
+        if self._backlogged and self._backlog_timer is None:
+            self._backlog_timer = self.reactor.callLater(BACKLOG_PAUSE_SECONDS, self._read_backlog)
+
+    def _read_backlog(self) -> None:
+        self._backlog_timer = None
+        if self._backlogged:
+            connection = self._backlogged.popleft()
+            self._schedule_backlog()
+            connection.read_backlog()
+
     def remove(self, connection: EndpointConnection) -> None:
         """Remove a lost connection."""
         self._open -= 1
         self._established.discard(connection)
-        if connection in self._idle:
-            self._idle.remove(connection)
+        for waiting in (self._idle, self._backlogged):
+            if connection in waiting:
+                waiting.remove(connection)
 
     def release_failed_dial(self) -> None:
         """Stop counting a connection that could not be opened."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -18,6 +18,7 @@
 from coltsfootshift.gateway.events import MAX_EVENT_BYTES, EventStreamBuffer
 from coltsfootshift.gateway.exchange import MAX_BUFFERED_BYTES, STALL_SECONDS
 from coltsfootshift.gateway.links import (
+    BACKLOG_PAUSE_SECONDS,
     MAX_DRAIN_BYTES,
     MAX_DRAIN_SECONDS,
     MAX_HEAD_BYTES,
@@ -326,10 +327,16 @@
     harness = GatewayHarness(endpoints=1)
     harness.send_request("book")
     endpoint = harness.accept()
+    postpone_deadline(harness)
     endpoint.protocol.dataReceived(CHUNKED)
+    piece = make_chunk(b"ab") * 4096
     tracemalloc.start()
     try:
-        feed(endpoint, make_chunk(b"ab") * 4096, MAX_BUFFERED_BYTES)
+        for _ in range(MAX_BUFFERED_BYTES // len(piece) + 1):
+            endpoint.protocol.dataReceived(piece)
+            while endpoint.producerState == "paused":
+                harness.clock.advance(BACKLOG_PAUSE_SECONDS)
+        assert not endpoint.aborted
         assert tracemalloc.get_traced_memory()[0] < 2 * MAX_BUFFERED_BYTES
     finally:
         tracemalloc.stop()
--- a/tests/test_platform_endless_answers.py
+++ b/tests/test_platform_endless_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+import select
 import socket
 import threading
 import time
@@ -32,6 +33,11 @@
 PIECE = b"%x\r\n%s\r\n" % (16 * 1024, b"a" * 16 * 1024)
 HELD = MIB - 2 * len(PIECE)  # of each connection; then it stays open
 
+TINY_PIECE = b"2\r\nab\r\n" * 8192
+TINY_CALLERS = 20
+TINY_SECONDS = 4.0
+DEADLINE_SECONDS = 2.5  # the time budget of plain requests
+
 
 class PeakMeter(threading.Thread):
     """Samples the resident memory of a process until it is stopped; `peak` is in bytes."""
@@ -52,6 +58,25 @@
         return self.peak
 
 
+class ReadingCallers(threading.Thread):
+    """Reads and discards what arrives on connections until they are closed."""
+
+    def __init__(self, connections) -> None:
+        super().__init__(daemon=True)
+        self._connections = connections
+        self._stopping = threading.Event()
+
+    def run(self) -> None:
+        while not self._stopping.is_set():
+            for connection in select.select(self._connections, [], [], SAMPLE_SECONDS)[0]:
+                if not connection.recv(64 * 1024):
+                    self._connections.remove(connection)
+
+    def stop(self) -> None:
+        self._stopping.set()
+        self.join()
+
+
 def start_fleet(folder, endpoint):
     """Return a fleet with a sound service and an endless one, and the ports of a ready entry."""
     fleet = Fleet(folder)
@@ -125,3 +150,30 @@
     assert set(statuses) == {200}
     assert endpoint.connection_count > ROUNDS * CALLERS / 2
     assert peak < MOST_ENTRY_BYTES
+
+
+def test_answers_without_end_in_tiny_chunks_leave_time_to_others(tmp_path):
+    """Each chunk costs the processor an event; other callers waited for seconds."""
+    endpoint = EndlessEndpoint(SEALED, TINY_PIECE, 10 * MIB)
+    fleet, ports = start_fleet(tmp_path, endpoint)
+    statuses, seconds = [], []
+    callers = [send_endless(ports, number) for number in range(TINY_CALLERS)]
+    readers = ReadingCallers(list(callers))
+    readers.start()
+    try:
+        until = time.monotonic() + TINY_SECONDS
+        while time.monotonic() < until:
+            started = time.monotonic()
+            statuses.append(book(ports, request=f"b-{len(statuses)}")[0])
+            seconds.append(time.monotonic() - started)
+            time.sleep(SAMPLE_SECONDS)
+        assert endpoint.connection_count == TINY_CALLERS
+        assert fleet.programs[0].process.poll() is None
+    finally:
+        readers.stop()
+        for caller in callers:
+            caller.close()
+        fleet.close()
+        endpoint.close()
+    assert set(statuses) == {200}
+    assert max(seconds) < DEADLINE_SECONDS
