--- a/tests/test_dials.py
+++ b/tests/test_dials.py
@@ -16,7 +16,7 @@
     def __init__(self) -> None:
         self.names: list[str] = []
 
-    def resolveHostName(self, receiver, name, portNumber=0, **_):  # noqa: N802, N803
+    def resolveHostName(self, receiver, name, portNumber=0, **_):
         self.names.append(name)
         receiver.resolutionBegan(None)
         receiver.addressResolved(IPv4Address("TCP", "127.0.0.9", portNumber))
