Review: an agent orders a load on a check that a freeze has outdated

Cause: RolloutTask._verify_staged has no limit on the time of a pass, so pieces that turn bad during a freeze of 4 s are loaded.

--- /dev/null
+++ b/review/2/case.py
@@ -0,0 +1,129 @@
+"""Freezes an agent while it checks the staged pieces; checked pieces turn bad meanwhile."""
+
+from __future__ import annotations
+
+import signal
+import sys
+import threading
+import time
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common"))
+
+from standins import (  # noqa: E402  needs the path set above
+    LIMITS,
+    MODEL,
+    ModelEngine,
+    Origin,
+    Run,
+    Store,
+    find_ports,
+    is_ready,
+    make_agent_settings,
+    make_entry_settings,
+    make_model_service,
+    make_piece,
+    make_route,
+    run_case,
+    wait_until,
+)
+
+SERVICE = "kit-assistant"
+ENGINE_HOST = "127.0.3.1"
+PIECES, PIECE_BYTES = 48, 49152
+LAST_VERSION = 5
+FREEZE_SECONDS = 4.0
+EXCUSED_SECONDS = 3.0
+SPOILT_PIECES = 2  # 0.06 of the pieces of one engine
+FREEZE_AT_PIECE = 24
+# Until the agent has read the answer and not yet asked for the next piece.
+FREEZE_DELAYS = (0.0002, 0.0006, 0.0010, 0.0014)
+MAX_SWITCH_SECONDS = 14.0
+
+
+class WatchedEngine(ModelEngine):
+    """A model engine that tells when all staged pieces of a version are being read back.
+
+    `taken` lists for each accepted order its version, and for each bad piece since when it was bad.
+    """
+
+    def __init__(self, *args) -> None:
+        self.on_read = None
+        self.bad_since: dict[int, float] = {}
+        self.taken: list[tuple[int, dict[int, float]]] = []
+        self._puts = 0
+        super().__init__(*args)
+
+    def handle(self, method, path, query, body, headers):
+        if path.startswith("/api/stage-put/"):
+            self.bad_since.pop(int(query["num"]), None)
+        answer = super().handle(method, path, query, body, headers)
+        if path == "/api/order" and answer[0] == 202:
+            now = time.monotonic()
+            ages = {number: now - since for number, since in self.bad_since.items()}
+            self.taken.append((self.version, ages))
+        if path.startswith("/api/stage-get/") and self.on_read is not None:
+            self.on_read(int(query.get("num", -1)))
+        return answer
+
+    def spoil(self, numbers) -> None:
+        for number in numbers:
+            data = self.staged[number]
+            self.staged[number] = bytes([data[0] ^ 1]) + data[1:]
+            self.bad_since[number] = time.monotonic()
+
+
+def play(run: Run) -> bool:
+    store, origin = Store(), Origin(PIECES, PIECE_BYTES)
+    weights = {"name": "member-portal", "origin": origin.address, "link_mbps": 15.0}
+    config = {
+        "version": 7,
+        "routes": [make_route("pitch-answer", SERVICE, "streaming", timeout_ms=6000)],
+        "services": [make_model_service(SERVICE, origin), {**weights, "max_conns": 48}],
+        "tenants": [{"name": "firm-a", "keys": ["key-of-firm-a"], "priority": 1}],
+        "limits": LIMITS,
+    }
+    store.put("op/config", config)
+    ports = find_ports(8)
+    engine = WatchedEngine("engine-1", SERVICE, store, origin, ENGINE_HOST)
+    seeds = [f"127.0.0.1:{ports[2]}"]
+    run.start("front-1", "entry", make_entry_settings("front-1", store, ports, seeds))
+    fields = make_agent_settings(
+        "side-1", store, engine.host, ports[6:8], seeds, engine.address, SERVICE
+    )
+    run.start("side-1", "agent", fields)
+    wait_until(lambda: is_ready(ports[1]), 20.0, "the entry is ready")
+    time.sleep(2.0)
+    for version in range(2, LAST_VERSION + 1):
+        delay = FREEZE_DELAYS[version % len(FREEZE_DELAYS)]
+        frozen = threading.Event()
+
+        def freeze(delay=delay) -> None:
+            time.sleep(delay)
+            run.signal("side-1", signal.SIGSTOP)
+            engine.spoil(range(SPOILT_PIECES))
+            run.note(f"pieces 0 to {SPOILT_PIECES - 1} have turned bad, and stay bad")
+            time.sleep(FREEZE_SECONDS)
+            run.signal("side-1", signal.SIGCONT)
+
+        def handle_read(number: int, version=version, frozen=frozen, freeze=freeze) -> None:
+            if number != FREEZE_AT_PIECE or frozen.is_set() or not run.trouble:
+                return
+            if engine.staged.get(PIECES - 1) != make_piece(version, PIECES - 1, PIECE_BYTES):
+                return
+            frozen.set()
+            threading.Thread(target=freeze, daemon=True).start()
+
+        engine.on_read = handle_read
+        store.put(f"op/version/{MODEL}", {"model": MODEL, "version": version})
+        run.note(f"version {version} named")
+        wait_until(lambda v=version: engine.version == v, MAX_SWITCH_SECONDS, "the load")
+        _, ages = engine.taken[-1]
+        run.note(f"version {version} taken; seconds for which bad pieces were bad: {ages}")
+        time.sleep(1.0)
+    broken = [v for v, ages in engine.taken if any(age > EXCUSED_SECONDS for age in ages.values())]
+    run.note(f"{len(engine.taken)} loads, with pieces that were spoilt for long: {broken}")
+    return not broken
+
+
+run_case(__file__, "an agent is frozen while it checks the staged pieces", play)
--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -27,6 +27,7 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "127.0.0.1"
+MODEL = "daka510000"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
 # The bounds of the site mfcha-tentline.
@@ -77,6 +78,7 @@
 
         class Handler(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
 
             def log_message(self, *args):
                 pass
@@ -198,6 +200,118 @@
         return 200, f"{method} {path} done".encode(), fields
 
 
+class Origin(Server):
+    """The origin of weights, with `pieces` pieces of `size` bytes of each version."""
+
+    def __init__(self, pieces: int = 48, size: int = 4096) -> None:
+        self.pieces, self.size = pieces, size
+        super().__init__()
+
+    def handle(self, method, path, query, body, headers):
+        version = int(query.get("version", 1))
+        if path.startswith("/api/manifest/"):
+            digests = [
+                hashlib.sha256(make_piece(version, number, self.size)).hexdigest()
+                for number in range(self.pieces)
+            ]
+            fields = {"model": MODEL, "version": version, "chunk_bytes": self.size, "layers": 16}
+            return 200, json.dumps({**fields, "digests": digests}).encode(), {}
+        if path.startswith("/api/piece/"):
+            return 200, make_piece(version, int(query["num"]), self.size), {}
+        return 404, b"", {}
+
+
+class ModelEngine(Server):
+    """A model engine: staging memory, orders, its report, and requests that are answered at once.
+
+    It writes its entry into the store. `version` is 0 while it holds no layers.
+    """
+
+    def __init__(self, name: str, service: str, store: Store, origin: Origin, host: str) -> None:
+        self.name = name
+        self.version = 1
+        self.orders: list[dict] = []
+        self.loaded: dict[int, bytes] = {}
+        self.runs: list[tuple[float, dict]] = []
+        self.staged = {n: make_piece(1, n, origin.size) for n in range(origin.pieces)}
+        self._service, self._store = service, store
+        self._born = int(time.time() * 1000)
+        super().__init__(host)
+        self.register()
+
+    def register(self) -> None:
+        """Write the entry of this engine into the store."""
+        fields = {"slots": 16, "sequence": len(self.orders), "born": self._born}
+        record = make_record(self._service, self.address, models=self._list_models(), **fields)
+        self._store.put(f"servers/{self.name}", record)
+
+    def lose_power(self) -> None:
+        """Lose all layers and all that is staged, and start again."""
+        self.version, self.orders, self.staged, self.loaded = 0, [], {}, {}
+        self._born = int(time.time() * 1000)
+        self.register()
+
+    def handle(self, method, path, query, body, headers):
+        number = int(query["num"]) if "num" in query else -1
+        if path == "/api/report":
+            return 200, json.dumps(self._describe()).encode(), {"Content-Type": "application/json"}
+        if path.startswith("/api/stage-put/"):
+            self.staged[number] = body
+            return 200, b"", {}
+        if path.startswith("/api/stage-get/"):
+            return self._read_staged(number)
+        if path == "/api/order":
+            return self._take_order(json.loads(body))
+        return self._generate(headers)
+
+    def _list_models(self) -> list[dict]:
+        if not self.version:
+            return []
+        return [{"name": MODEL, "version": self.version, "adapters": []}]
+
+    def _describe(self) -> dict:
+        return {
+            "phase": "unified",
+            "models": self._list_models(),
+            "busy": False,
+            "sequence": len(self.orders),
+            "queued": 0,
+            "running": 0,
+            "kv_used": 0,
+            "kv_total": 1180000,
+            "handles": 0,
+            "born": self._born,
+        }
+
+    def _read_staged(self, number):
+        if number < 0:
+            return 200, json.dumps({"held": sorted(self.staged)}).encode(), {}
+        data = self.staged.get(number)
+        return (404, b"", {}) if data is None else (200, data, {})
+
+    def _take_order(self, order):
+        if order.get("expect", len(self.orders)) != len(self.orders):
+            return 409, b"", {}
+        self.orders.append(order)
+        self.loaded = dict(self.staged)
+        self.version = order["version"]
+        self.register()
+        return 202, b"", {}
+
+    def _generate(self, headers):
+        echo = {"X-Attempt-Id": headers.get("x-attempt-id", "")}
+        wanted = headers.get("x-expect-version")
+        if headers.get("x-expect-instance") != self.name:
+            return 421, b"", {**echo, "At-Server": self.address}
+        if not self.version or (wanted is not None and int(wanted) != self.version):
+            return 421, b"", {**echo, "At-Server": self.address}
+        self.runs.append((time.monotonic(), headers))
+        fields = {"X-Response-Seal": "3e1b.07.5a2", "X-Weight-Versions": str(self.version)}
+        fields["Content-Type"] = "text/event-stream"
+        events = "".join(f"id: {number}\ndata: five tokens\n\n" for number in range(1, 4))
+        return 200, events.encode(), {**echo, **fields}
+
+
 class Run:
     """A run of one case: its record, its folder, the programs and what they talk to."""
 
@@ -303,12 +417,14 @@
             item.close()
 
 
-def make_entry_settings(name: str, store: Store, ports: list[int], seeds: list[str]) -> dict:
+def make_entry_settings(
+    name: str, store: Store, ports: list[int], seeds: list[str], host: str = HOST
+) -> dict:
     """Return the settings of a process on a `front` machine; six ports are used."""
     purposes = ("front", "ready", "control", "directory")
     fields = _make_settings(name, "entry", "front", store, ports[4:6], seeds)
-    fields["serves"] = ["front", "control", "directory"]
-    fields["listen"] = {purpose: f"{HOST}:{ports[i]}" for i, purpose in enumerate(purposes)}
+    fields.update(ip=host, serves=["front", "control", "directory"])
+    fields["listen"] = {purpose: f"{host}:{ports[i]}" for i, purpose in enumerate(purposes)}
     return fields
 
 
@@ -380,11 +496,33 @@
     }
 
 
+def make_model_service(name: str, origin: Origin) -> dict:
+    """Return the service of the model engines, with the figures of the site."""
+    engine = {
+        "slots": 16,
+        "stride": 5,
+        "models": [{"name": MODEL, "pace": 1.0, "load_s": 4.0, "warm_s": 0.3}],
+        "step_ms": 8.87,
+        "per_seq_ms": 0.0388,
+        "read_per_s": 19100.0,
+        "usual": {"prompt": 977, "answer": 94},
+        "layers": 16,
+        "chunks": origin.pieces,
+        "chunk_bytes": origin.size,
+    }
+    return {"name": name, "health_path": "/health", "max_conns": 364, "engine": engine}
+
+
 def send(
-    port: int, method: str, path: str, headers: dict | None = None, body: bytes | None = None
+    port: int,
+    method: str,
+    path: str,
+    headers: dict | None = None,
+    body: bytes | None = None,
+    host: str = HOST,
 ) -> tuple[int, bytes, dict]:
     """Send a request on a new connection; return status, body and headers."""
-    connection = http.client.HTTPConnection(HOST, port, timeout=10)
+    connection = http.client.HTTPConnection(host, port, timeout=10)
     try:
         connection.request(method, path, body, headers or {})
         answer = connection.getresponse()
@@ -393,9 +531,9 @@
         connection.close()
 
 
-def is_ready(port: int) -> bool:
+def is_ready(port: int, host: str = HOST) -> bool:
     """Return whether an entry says on its port for checks that it is ready."""
-    return send(port, "GET", "/api/ready")[0] == 200
+    return send(port, "GET", "/api/ready", host=host)[0] == 200
 
 
 def make_piece(version: int, number: int, size: int) -> bytes:
