--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -70,7 +70,8 @@
 class Server:
     """An HTTP/1.1 server in a thread; subclasses implement `handle`.
 
-    `handle` returns status, body and headers, or None to reset the connection.
+    `handle` returns status, body and headers, or None to close the connection. A body that is not
+    bytes is an iterable of its chunks.
     """
 
     def __init__(self, host: str = HOST) -> None:
@@ -96,9 +97,16 @@
                 self.send_response(status)
                 for name, value in fields.items():
                     self.send_header(name, value)
-                self.send_header("Content-Length", str(len(data)))
+                if isinstance(data, bytes):
+                    self.send_header("Content-Length", str(len(data)))
+                    self.end_headers()
+                    self.wfile.write(data)
+                    return
+                self.send_header("Transfer-Encoding", "chunked")
                 self.end_headers()
-                self.wfile.write(data)
+                for part in data:
+                    self.wfile.write(b"%x\r\n%s\r\n" % (len(part), part))
+                self.wfile.write(b"0\r\n\r\n")
 
             do_GET = do_POST = do_PUT = answer
 
