--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -387,11 +387,12 @@
 
 def run_case(file: str, title: str, play) -> None:
     """Play a case, and exit with its result: `play` returns whether the rule held."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     run = Run(Path(file).resolve().parent, title)
     try:
         result = HELD if play(run) else BROKEN
         run.note("the rule held" if result == HELD else "THE RULE WAS BROKEN")
-    except (NotStartedError, OSError) as error:
+    except Exception as error:
         run.note(f"the case could not run: {error!r}")
         result = COULD_NOT_RUN
     finally:
