--- a/tests/test_gateway_missing_parts.py
+++ b/tests/test_gateway_missing_parts.py
@@ -31,11 +31,15 @@
     return StoreItemDecoder().read_catalogue(Item("op/config", 5, value))
 
 
-def ask(catalogue, key, path="read"):
-    """Return the status that a caller gets at once, None if the request goes to an endpoint."""
+def ask(catalogue, key, path="read", age=0.0):
+    """Return the status that a caller gets at once, None if the request goes to an endpoint.
+
+    The catalogue was last confirmed `age` seconds ago.
+    """
     harness = GatewayHarness(endpoints=1)
     harness.tables.catalogue = catalogue
     harness.gateway.refresh()
+    harness.clock.advance(age)
     caller = harness.send_request(path, key=key)
     text = caller.take()
     assert bool(text) != (harness.accept() is not None)
@@ -54,6 +58,8 @@
         ([{"name": "team-1"}], KEY, 401),
         ([], KEY, 401),
         ([], "", 401),
+        ([{"name": "team-1", "keys": ["", KEY]}], "", 401),
+        ([{"name": "team-1", "keys": ["", KEY]}], KEY, None),
         ([{"name": 5, "keys": [KEY]}], KEY, 503),
         ([TEAM, {"name": "team-2", "keys": "key-2"}], "key-2", 503),
         ([TEAM, {"name": "team-2", "keys": "key-2"}], KEY, None),
@@ -69,6 +75,8 @@
         "keys absent",
         "last team taken away",
         "last team taken away, none presented",
+        "empty key, none presented",
+        "key beside an empty one",
         "only team unreadable",
         "key of an unreadable team",
         "key of a team beside an unreadable one",
