Refuse a presented key by the catalogue's age also where none seems to be needed

What callers would have seen: an entry that is cut off while an anonymous route is made to ask for keys and a key is taken away runs requests with that key for as long as it is cut off. Cause: the check looked at the catalogue's age only once it had found that a key is needed, but that none is needed is as old as the catalogue. Now a request that presents a key is refused as not run while the catalogue is too old; requests without a key are served on anonymous routes as before.

--- a/src/coltsfootshift/gateway/checks.py
+++ b/src/coltsfootshift/gateway/checks.py
@@ -126,11 +126,13 @@
     ) -> Rejection | None:
         """Deny unknown keys; refuse all keys while the catalogue is too old.
 
-        A key that may be one of a team that cannot be read is refused as not run.
+        That the route needs no key is outdated then, too: callers present none where none is
+        needed. A key that may be one of a team that cannot be read is refused as not run.
         """
         assert tables.catalogue is not None and admission.route is not None
         teams = tables.catalogue.teams
-        if teams is None or admission.route.anonymous:
+        needs_key = teams is not None and not admission.route.anonymous
+        if not needs_key and not admission.head.key:
             return None
         age = tables.measure_age(Table.OPERATOR, now)
         if age > self._max_age:
@@ -138,6 +140,8 @@
                 f"the catalogue was last confirmed {age:.1f} s ago",
                 retry_after=CATALOGUE_RETRY_SECONDS,
             )
+        if teams is None or not needs_key:
+            return None
         team = teams.get(admission.head.key)
         if team is None and tables.catalogue.unread.teams:
             return NotRun("the key's team cannot be read", retry_after=CATALOGUE_RETRY_SECONDS)
--- a/tests/test_gateway_missing_parts.py
+++ b/tests/test_gateway_missing_parts.py
@@ -21,6 +21,8 @@
 ROUTE = {"name": "a", "kind": "idempotent", "host": "host", "timeout_ms": 1000, "service": "s"}
 SERVICE = {"name": "s", "max_conns": 100}
 TEAM = {"name": "team-1", "keys": [KEY]}
+ANONYMOUS = [{**ROUTE, "prefix": "/read/", "anonymous": True}]
+OUTDATED_SECONDS = 5.0  # a key that was taken away must be refused after this time
 
 
 def decode(**parts):
@@ -87,6 +89,30 @@
     assert ask(decode(tenants=tenants), key) == status
 
 
+@pytest.mark.parametrize(
+    ("parts", "key", "age", "status"),
+    [
+        ({"routes": ANONYMOUS}, KEY, 0.0, None),
+        ({"routes": ANONYMOUS}, KEY, OUTDATED_SECONDS, 503),
+        ({"routes": ANONYMOUS}, "", OUTDATED_SECONDS, None),
+        ({"tenants": "absent"}, KEY, 0.0, None),
+        ({"tenants": "absent"}, KEY, OUTDATED_SECONDS, 503),
+        ({"tenants": "absent"}, "", OUTDATED_SECONDS, None),
+    ],
+    ids=[
+        "anonymous route",
+        "anonymous route, outdated",
+        "anonymous route, outdated, none presented",
+        "no teams",
+        "no teams, outdated",
+        "no teams, outdated, none presented",
+    ],
+)
+def test_key_does_not_run_by_an_outdated_belief_that_none_is_needed(parts, key, age, status):
+    """The route may need a key by now, and the key may have been taken away since."""
+    assert ask(decode(**parts), key, age=age) == status
+
+
 @pytest.mark.parametrize(
     ("rows", "path", "status"),
     [
