Verify staged chunks so late that an order may wait for 1.5 s at a silent engine

What would have been seen: an agent is suspended for 1.6 s in its check while chunks turn bad, and the engine is silent for 1.5 s when the order arrives: it loads chunks that were bad for 3.1 s (3 s are excused). Cause: a result was valid for 2 s and the order for the 1 s after which its sender gives up, which does not take it back.

--- a/src/coltsfootshift/controllers/verification.py
+++ b/src/coltsfootshift/controllers/verification.py
@@ -6,8 +6,11 @@
 
 __all__ = ["VERIFICATION_SECONDS", "VerifiedChunks"]
 
-# Chunks that turned bad more than 3 s before a load must not be loaded; an order takes up to 1 s.
-VERIFICATION_SECONDS = 2.0
+# A load must not take chunks that turned bad longer ago than this.
+MAX_CORRUPTED_SECONDS = 3.0
+# An engine may be silent for this long and then accept an order that its sender has given up.
+MAX_ENGINE_SILENCE_SECONDS = 1.5
+VERIFICATION_SECONDS = MAX_CORRUPTED_SECONDS - MAX_ENGINE_SILENCE_SECONDS
 
 
 class VerifiedChunks:
@@ -16,13 +19,14 @@
     Load pattern: a process may be suspended between any two steps of a pass over the chunks, and
     chunks may become corrupted meanwhile. A result is therefore valid for `VERIFICATION_SECONDS`
     from when the chunk was requested, and a load may be ordered while the results of all chunks
-    are valid. Times are in seconds of a clock that counts while the process is suspended.
+    are valid. The order itself may wait for `MAX_ENGINE_SILENCE_SECONDS` at the engine. Times are
+    in seconds of a clock that counts while the process is suspended.
 
     >>> verified = VerifiedChunks(2)
     >>> verified.record(0, 10.0)
     >>> verified.record(1, 10.5)
-    >>> verified.list_due(10.6), verified.valid_until, verified.list_due(12.2)
-    ([], 12.0, [0])
+    >>> verified.list_due(10.6), verified.valid_until, verified.list_due(11.7)
+    ([], 11.5, [0])
     """
 
     def __init__(self, count: int) -> None:
--- a/tests/test_gateway_verification.py
+++ b/tests/test_gateway_verification.py
@@ -11,10 +11,11 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from test_gateway_orders import CHUNK, StubEngine, make_rollout, run
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from coltsfootshift.controllers.verification import VERIFICATION_SECONDS, VerifiedChunks
+from coltsfootshift.gateway.engines import PortError
 from coltsfootshift.gateway.table_cache import WantedVersion
 from coltsfootshift.settings import Address
 
@@ -22,6 +23,8 @@
 SUSPENDED_SECONDS = 4.0
 EXCUSED_SECONDS = 3.0  # a load may take chunks that turned bad within this time
 READ_SECONDS = 0.01
+SILENT_SECONDS = 1.5  # of an engine that handles nothing, and then goes on in order
+ORDER_TIMEOUT_SECONDS = 1.0
 
 
 class RottingEngine(StubEngine):
@@ -31,9 +34,10 @@
     staged for the first time. At the start of the suspension the chunks in `spoilt` turn bad.
     """
 
-    def __init__(self, clock, suspend_at, spoilt):
+    def __init__(self, clock, suspend_at, spoilt, suspended_for=SUSPENDED_SECONDS):
         super().__init__(1, answers=True)
         self.clock = clock
+        self.suspended_for = suspended_for
         self.suspend_at = suspend_at
         self.spoilt = spoilt
         self.questions = 0
@@ -62,12 +66,43 @@
         if self.watching and self.questions == self.suspend_at:
             for index in self.spoilt:
                 self.bad_since[index] = self.clock.seconds()
-            self.clock.rightNow += SUSPENDED_SECONDS
+            self.clock.rightNow += self.suspended_for
         answer.callback(data)
 
 
-def make_suspended(suspend_at, spoilt):
-    engine = RottingEngine(None, suspend_at, spoilt)
+class SilentEngine(RottingEngine):
+    """Falls silent when it is sent an order, which it accepts after the sender has given up.
+
+    The chunks in `spoilt_in_silence` turn bad at the start of that.
+    """
+
+    silent_for = SILENT_SECONDS
+    silent_until = 0.0
+    spoilt_in_silence = ()
+
+    def read_report(self):
+        if self.clock.seconds() < self.silent_until:
+            return fail(PortError("timed out"))
+        return super().read_report()
+
+    def load(self, *order):
+        now = self.clock.seconds()
+        self.silent_until = now + self.silent_for
+        self.bad_since.update(dict.fromkeys(self.spoilt_in_silence, now))
+        self.clock.callLater(self.silent_for, self._accept, *order)
+        answer = Deferred()
+        error = PortError("timed out")
+        self.clock.callLater(ORDER_TIMEOUT_SECONDS, lambda: answer.errback(error))
+        return answer
+
+    def _accept(self, *order):
+        now = self.clock.seconds()
+        self.ages.append([now - since for since in self.bad_since.values()])
+        StubEngine.load(self, *order)
+
+
+def make_suspended(suspend_at, spoilt, make_engine=RottingEngine, suspended_for=SUSPENDED_SECONDS):
+    engine = make_engine(None, suspend_at, spoilt, suspended_for)
     clock, tables, rollout = make_rollout(engine, CHUNKS)
     engine.clock = clock
     return clock, tables, rollout, engine
@@ -89,6 +124,43 @@
     assert all(age <= EXCUSED_SECONDS for ages in engine.ages for age in ages)
 
 
+@pytest.mark.parametrize("suspended_for", [0.5, 1.4, 1.6, 1.9, 2.5])
+@pytest.mark.parametrize("suspend_at", [1, CHUNKS])
+def test_order_that_a_silent_engine_accepts_late_loads_no_chunk_that_was_bad_for_long(
+    suspend_at, suspended_for
+):
+    """The agent is suspended in its check, and the engine is silent when the order arrives.
+
+    The engine reads the order from its socket when it goes on, although the agent has given up.
+    """
+    spoilt = tuple(range(suspend_at))
+    clock, tables, rollout, engine = make_suspended(suspend_at, spoilt, SilentEngine, suspended_for)
+    rollout.refresh()
+    rollout.start(1)
+    run(clock, 2.0)
+    engine.watching = True
+    tables.wanted_versions["m"] = [WantedVersion("m", 2, clock.seconds())]
+    for _ in range(1000):
+        clock.advance(READ_SECONDS)
+    assert engine.questions >= suspend_at and engine.report.versions == {"m": 2}
+    assert all(age <= EXCUSED_SECONDS for ages in engine.ages for age in ages)
+
+
+@pytest.mark.parametrize("silent_for", [0.5, SILENT_SECONDS, 2.5, SUSPENDED_SECONDS])
+def test_order_at_an_engine_that_is_suspended_loads_no_chunk_that_was_bad_for_long(silent_for):
+    """The instance is suspended while the order waits at the engine, and a chunk turns bad then."""
+    clock, tables, rollout, engine = make_suspended(0, (), SilentEngine)
+    engine.silent_for, engine.spoilt_in_silence = silent_for, (0,)
+    rollout.refresh()
+    rollout.start(1)
+    run(clock, 2.0)
+    tables.wanted_versions["m"] = [WantedVersion("m", 2, clock.seconds())]
+    for _ in range(1000):
+        clock.advance(READ_SECONDS)
+    assert engine.report.versions == {"m": 2}
+    assert all(age <= EXCUSED_SECONDS for ages in engine.ages for age in ages)
+
+
 @given(
     st.lists(
         st.tuples(st.integers(0, 3), st.floats(0.0, 3.0), st.booleans()), min_size=1, max_size=30
