Stage nothing of another version while an order without an answer may be accepted

What would have been seen: an engine leaves a load order without an answer, another version is published, and its chunks are staged over those of the ordered one before the engine takes the order: it loads chunks of two versions. Cause: any report let the agent go on, also one answered before the order was taken. Now an order without an answer is kept until a report shows that it was accepted, the engine restarts, or 1.5 s have passed, for which an engine may be silent; until then no other version is begun. tests/test_gateway_orders.py: 4 of 8 rows failed before; the other four show that without a report nothing was staged before either. Not shown with real processes.

--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -4,6 +4,7 @@
 
 import hashlib
 from collections.abc import Callable
+from dataclasses import dataclass
 from functools import partial
 from math import inf
 from random import Random
@@ -38,7 +39,7 @@
     WeightsWanted,
     unpack_bitfield,
 )
-from coltsfootshift.controllers.verification import VerifiedChunks
+from coltsfootshift.controllers.verification import MAX_ENGINE_SILENCE_SECONDS, VerifiedChunks
 from coltsfootshift.controllers.waves import LoadWaves, ServingState, order_loads
 from coltsfootshift.controllers.weights import WeightsController
 from coltsfootshift.gateway.digests import DigestCache
@@ -98,6 +99,21 @@
 logger = get_logger("gateway.rollout")
 
 
+@dataclass(frozen=True, slots=True)
+class _LoadOrder:
+    """An order to load a version, which the engine accepts only after `accepted_orders` others."""
+
+    model: str
+    version: int
+    accepted_orders: int
+    sent_at: float
+
+    def may_be_accepted(self, report: EngineReport, now: float) -> bool:
+        """Return whether an engine with this report may still accept the order."""
+        waits = report.accepted_orders == self.accepted_orders
+        return waits and now < self.sent_at + MAX_ENGINE_SILENCE_SECONDS
+
+
 class RolloutTask(StreamOwner):
     """Stages the chunks of the wanted version, orders the load, and serves chunks to neighbours.
 
@@ -164,6 +180,7 @@
         self._digests_requested = False
         self._doubtful_chunks: dict[int, bytes] = {}
         self._ordered_at = float("-inf")
+        self._unanswered_order: _LoadOrder | None = None
         self._started_ms = 0
         self._announced: tuple[int, bool, int] | None = None
         self._announcements = 0
@@ -353,7 +370,7 @@
         report = await self._engine.read_report()
         self._handle_report(report)
         model, version = self._wanted
-        if not version:
+        if not version or self._has_order_of_another_version(report):
             return
         if not self._digests:
             await self._start_version(model, version)
@@ -371,9 +388,11 @@
         if verified is None or not self._may_load(serving or 0, now):
             return
         self._ordered_at = now
+        self._unanswered_order = _LoadOrder(model, version, report.accepted_orders, now)
         result = await self._engine.load(
             model, version, version, report.accepted_orders, False, verified.valid_until
         )
+        self._unanswered_order = None
         self._metrics.count("load_orders")
         logger.info(
             "load ordered",
@@ -388,6 +407,20 @@
             self._version_selector.record_order(version)
             self._announce(serving or 0, True, report.born)
 
+    def _has_order_of_another_version(self, report: EngineReport) -> bool:
+        """Return whether the engine may still load another version than the wanted one.
+
+        It loads what is staged when it accepts the order, so that no chunk of the wanted version
+        may be staged before.
+        """
+        order = self._unanswered_order
+        if order is None or (order.model, order.version) == self._wanted:
+            return False
+        if order.may_be_accepted(report, self.reactor.seconds()):
+            return True
+        self._unanswered_order = None
+        return False
+
     def _may_load(self, serving: int, now: float) -> bool:
         """Return whether this engine, which serves the version `serving`, may load now.
 
@@ -405,6 +438,7 @@
         if self._report is not None and report.born != self._report.born:
             logger.info("engine restarted", extra={"born": report.born})
             self._version_selector.clear_orders()
+            self._unanswered_order = None
             self._check_engine_staging = True
             self._all_staged = False
             self._digests = []
--- a/tests/test_gateway_orders.py
+++ b/tests/test_gateway_orders.py
@@ -10,7 +10,7 @@
 import pytest
 from coltsfootshift_platform.engines import HttpEngine
 from gateway_harness import ENGINE_SPEC, GatewayHarness
-from twisted.internet.defer import fail, succeed
+from twisted.internet.defer import Deferred, fail, succeed
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.controllers.chunks import Location
@@ -23,6 +23,8 @@
 from coltsfootshift.settings import Address
 
 CHUNK = b"chunk"
+SILENT_SECONDS = 1.5  # of an engine that handles nothing, and then goes on in order
+ORDER_TIMEOUT_SECONDS = 1.0
 
 
 class StubEngine:
@@ -74,7 +76,21 @@
         pass
 
 
-def make_rollout(engine, chunks=1):
+class VersionedOrigin(StubOrigin):
+    """An origin whose chunks differ by version."""
+
+    def read_digests(self, model, version):
+        return succeed([hashlib.sha256(make_chunk(version)).digest()] * self.chunks)
+
+    def read_chunk(self, model, version, index):
+        return succeed(make_chunk(version))
+
+
+def make_chunk(version):
+    return b"chunk of %d" % version
+
+
+def make_rollout(engine, chunks=1, make_origin=StubOrigin):
     """Return a clock, the tables and the rollout of the only agent, whose chunks are staged."""
     harness = GatewayHarness(endpoints=0)
     spec = replace(ENGINE_SPEC, chunks=chunks, chunk_bytes=len(CHUNK))
@@ -90,7 +106,7 @@
         Mock(reactor=harness.clock),
         harness.tables,
         engine,
-        lambda address: StubOrigin(chunks),
+        lambda address: make_origin(chunks),
         Address("10.0.0.9", 7700),
         ServiceName("llm"),
         Location("north", FailureDomain("a")),
@@ -182,3 +198,85 @@
     client.read_report().addErrback(failures.append)
     assert failures[0].check(PortError)
     assert client._client._pool is not before
+
+
+class SilentEngine(StubEngine):
+    """Handles nothing in its silences, and goes on with what was sent to it meanwhile.
+
+    It handles chunks that were sent after an order on another connection before that order and,
+    if `reports_first` is set, reports as well. `loaded` lists the version of each order and the
+    chunks that it has loaded.
+    """
+
+    def __init__(self, clock, reports_first):
+        super().__init__(1, answers=True)
+        self.clock = clock
+        self.reports_first = reports_first
+        self.silent_until = 0.0
+        self.order_waits = False
+        self.staged = {}
+        self.loaded = []
+
+    def read_report(self):
+        is_first = self.reports_first and self.order_waits
+        if self.clock.seconds() < self.silent_until and not is_first:
+            return fail(PortError("timed out"))
+        return super().read_report()
+
+    def list_staged(self, model):
+        return succeed(frozenset(self.staged))
+
+    def read_staged(self, model, index):
+        return succeed(self.staged[index])
+
+    def stage(self, model, index, data):
+        self.staged[index] = data
+        return succeed(None)
+
+    def load(self, model, version, fencing, expected_orders, abort, valid_until):
+        silent_for = 0.0 if self.loaded else SILENT_SECONDS
+        self.order_waits = True
+        self.silent_until = self.clock.seconds() + silent_for
+        self.clock.callLater(silent_for, self._accept, version, expected_orders)
+        answer = Deferred()
+        if silent_for:
+            error = PortError("timed out")
+            self.clock.callLater(ORDER_TIMEOUT_SECONDS, lambda: answer.errback(error))
+        else:
+            self.clock.callLater(0, answer.callback, OrderResult(True, 202))
+        return answer
+
+    def _accept(self, version, expected_orders):
+        self.order_waits = False
+        if expected_orders == self.report.accepted_orders:
+            self.report = EngineReport({"m": version}, False, expected_orders + 1, 1)
+            self.loaded.append((version, set(self.staged.values())))
+
+
+@pytest.mark.parametrize("reports_first", [False, True], ids=["in order", "reports first"])
+@pytest.mark.parametrize(
+    ("published_after", "silent_for"),
+    [(0.6, 0.0), (0.9, 0.0), (3.0, 7.0), (3.0, 7.6)],
+    ids=["at once", "within a second", "as the transfer seems stuck", "just before that"],
+)
+def test_chunks_of_the_next_version_are_not_staged_while_an_order_may_be_accepted(
+    published_after, silent_for, reports_first
+):
+    """The next version is published while the order waits at an engine that is silent.
+
+    Its chunks replaced those of the ordered version before the engine loaded them.
+    """
+    engine = SilentEngine(None, reports_first)
+    clock, tables, rollout = make_rollout(engine, 3, VersionedOrigin)
+    engine.clock = clock
+    rollout.refresh()
+    rollout.start(1)
+    run(clock, 2.0)
+    named_at = clock.seconds()
+    engine.silent_until = named_at + silent_for
+    tables.wanted_versions["m"] = [WantedVersion("m", 2, named_at)]
+    run(clock, published_after)
+    tables.wanted_versions["m"].append(WantedVersion("m", 3, clock.seconds()))
+    run(clock, 14.0)
+    assert [version for version, _ in engine.loaded] == [2, 3]
+    assert all(chunks == {make_chunk(version)} for version, chunks in engine.loaded)
