--- a/tests/soak/backends.py
+++ b/tests/soak/backends.py
@@ -133,9 +133,13 @@
 
 
 class SoakEngine(SoakBackend, EngineStandIn):
-    """A model engine that streams events, resumes streams and loads staged weights."""
+    """A model engine that streams events, resumes streams and loads staged weights.
+
+    When it gets the next order, it falls silent for `silence_at_order` seconds.
+    """
 
     def __init__(self, name: str, ledger: Ledger, rng: Random) -> None:
+        self.silence_at_order = 0.0
         self._busy_until = 0.0
         super().__init__(name, ledger, rng, staged=1)
 
@@ -146,6 +150,10 @@
         super().restart()
 
     def handle(self, method, path, query, body, headers):
+        if path == "/api/order" and self.silence_at_order:
+            self.gate.close()
+            threading.Timer(self.silence_at_order, self.gate.open).start()
+            self.silence_at_order = 0.0
         self.gate.wait()
         if path.startswith("/api/"):
             return super().handle(method, path, query, body, headers)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,7 +30,7 @@
 )
 from soak.ledger import SETTLE_SECONDS, Call, Kind
 from soak.members import Member, SoakFleet
-from soak.spoilt import draw_spoilt_knowledge
+from soak.spoilt import draw_late_order, draw_spoilt_knowledge
 
 FAULT_PERIOD_SECONDS = 10.0
 FAULT_COUNT = 14
@@ -83,6 +83,8 @@
         publication += draw_silences_at_limit(fleet, silence_rng, publication)
         planned_work = draw_planned_work(fleet, silence_rng)
         spoilt_knowledge = draw_spoilt_knowledge(fleet, Random(f"spoilt {seed}"))
+        late_order = draw_late_order(fleet, Random(f"order {seed}"), spoilt_knowledge)
+        spoilt_knowledge.append(late_order)
         result.plans = [plan, publication, restore, planned_work, spoilt_knowledge]
         for caller in callers:
             caller.start()
--- a/tests/soak/spoilt.py
+++ b/tests/soak/spoilt.py
@@ -10,13 +10,15 @@
 
 from platform_standins import HOST
 
-from soak.faults import Fault, Kill, PlannedFault
+from soak.faults import SILENCE_RANGE_SECONDS, Fault, Kill, PlannedFault
 from soak.ledger import DEADLINE_TOLERANCE_SECONDS, STORE, Call, Kind
 from soak.members import TEAMS, Member, SoakFleet, Taken
 
 TAKEN_RANGE_SECONDS = (0.5, 4.0)
 # Pieces may turn bad up to 3 s before a load; the agent must not run for longer than that.
 VERIFICATION_PAUSE_RANGE_SECONDS = (3.2, 4.5)
+# With the longest silence of an engine more than 3 s.
+SHORT_PAUSE_RANGE_SECONDS = (1.6, 2.5)
 ORDER_SECONDS = 0.2  # until an order that the agent sent before the pause has been accepted
 ROLLOUT_RANGE_SECONDS = (0.0, 2.0)  # from a publication to about the load
 PERIOD_SECONDS = 5.0
@@ -71,6 +73,24 @@
         return f"VerificationPause({self.member.name}, {self.seconds:.1f} s)"
 
 
+class LateOrder(VerificationPause):
+    """Suspends an agent for less than 3 s; its engine falls silent when it gets the next order.
+
+    Pieces that turned bad at the beginning would then be loaded more than 3 s later.
+    """
+
+    def choose(self, fleet: SoakFleet, rng: Random) -> None:
+        super().choose(fleet, rng)
+        self.seconds = rng.uniform(*SHORT_PAUSE_RANGE_SECONDS)
+
+    def end(self, fleet: SoakFleet) -> None:
+        self.engine.silence_at_order = SILENCE_RANGE_SECONDS[1]
+        super().end(fleet)
+
+    def __repr__(self) -> str:
+        return f"LateOrder({self.member.name}, {self.seconds:.2f} s)"
+
+
 class WrongOnce(Fault):
     """Publishes a version of which the origin sends one wrong digest or chunk."""
 
@@ -220,3 +240,16 @@
         fault.draw(fleet, rng)
         plan.append(PlannedFault(at, fault))
     return sorted(plan, key=lambda planned: planned.starts_at)
+
+
+def draw_late_order(
+    fleet: SoakFleet, rng: Random, spoilt_knowledge: list[PlannedFault]
+) -> PlannedFault:
+    """Return a late order beside the pause of another agent, after the publication of a version."""
+    published = next(item for item in spoilt_knowledge if isinstance(item.fault, WrongOnce))
+    paused = next(item.fault for item in spoilt_knowledge if type(item.fault) is VerificationPause)
+    fault = LateOrder()
+    fault.draw(fleet, rng)
+    while fault.engine is paused.engine:
+        fault.draw(fleet, rng)
+    return PlannedFault(published.starts_at + rng.uniform(*ROLLOUT_RANGE_SECONDS), fault)
