--- a/src/coltsfootshift/controllers/verification.py
+++ b/src/coltsfootshift/controllers/verification.py
@@ -4,11 +4,11 @@
 
 from math import inf
 
-__all__ = ["VERIFICATION_SECONDS", "VerifiedChunks"]
+__all__ = ["MAX_ENGINE_SILENCE_SECONDS", "VERIFICATION_SECONDS", "VerifiedChunks"]
 
 # A load must not take chunks that turned bad longer ago than this.
 MAX_CORRUPTED_SECONDS = 3.0
-# An engine may be silent for this long and then accept an order that its sender has given up.
+# A sound engine may read nothing for this long, and then accepts what its sender has given up.
 MAX_ENGINE_SILENCE_SECONDS = 1.5
 VERIFICATION_SECONDS = MAX_CORRUPTED_SECONDS - MAX_ENGINE_SILENCE_SECONDS
 
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -101,7 +101,10 @@
 
 @dataclass(frozen=True, slots=True)
 class _LoadOrder:
-    """An order to load a version, which the engine accepts only after `accepted_orders` others."""
+    """An order to load a version, which the engine accepts only after `accepted_orders` others.
+
+    It was sent at `sent_at`, in seconds of the reactor's clock.
+    """
 
     model: str
     version: int
@@ -417,6 +420,8 @@
         if order is None or (order.model, order.version) == self._wanted:
             return False
         if order.may_be_accepted(report, self.reactor.seconds()):
+            row = {"ordered": order.version, "wanted": self._wanted[1]}
+            logger.info("next version waits for an order without an answer", extra=row)
             return True
         self._unanswered_order = None
         return False
--- a/src/coltsfootshift/gateway/versions.py
+++ b/src/coltsfootshift/gateway/versions.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from math import inf
 
+from coltsfootshift.controllers.verification import MAX_ENGINE_SILENCE_SECONDS
 from coltsfootshift.gateway.table_cache import WantedVersion
 
 __all__ = [
@@ -16,9 +17,9 @@
     "find_first_limit",
 ]
 
-# A sound engine may read nothing for this long, and then reads requests and withdrawals together.
-# It covers the delay of a full link between regions as well.
-MAX_DELIVERY_SECONDS = 1.5
+# After its silence an engine reads requests and withdrawals together. This covers the delay of a
+# full link between regions as well.
+MAX_DELIVERY_SECONDS = MAX_ENGINE_SILENCE_SECONDS
 CANCEL_SECONDS = 0.25  # an attempt needs up to this long to stop after its cancellation
 # How long before a version's limit requests that have not begun are withdrawn.
 WITHDRAWAL_MARGIN_SECONDS = MAX_DELIVERY_SECONDS + CANCEL_SECONDS
