Send a load order in the step in which the time is looked at for the last time

What callers would have seen: tokens made with chunks that had been bad for over 3 s. An agent that was suspended after its last look at the time, with the order in its connection's buffer, sent it when it went on. Cause: the reactor sends what has been written in its next turn. Now the connection sends the body of an order in the call that writes it, right after it has looked at the time itself, or is closed with nothing sent.

--- a/src/coltsfootshift/answers.py
+++ b/src/coltsfootshift/answers.py
@@ -1,24 +1,31 @@
-"""Reads the answers of HTTP servers within limits of size and time."""
+"""HTTP clients: requests that expire, and answers within limits of size and time."""
 
 from __future__ import annotations
 
 from typing import Any
 
 from twisted.internet.abstract import isIPAddress
-from twisted.internet.defer import Deferred, TimeoutError
+from twisted.internet.defer import Deferred, TimeoutError, fail, succeed
 from twisted.internet.endpoints import HostnameEndpoint, TCP4ClientEndpoint
-from twisted.internet.interfaces import IStreamClientEndpoint
+from twisted.internet.interfaces import IStreamClientEndpoint, IWriteDescriptor
 from twisted.internet.protocol import Protocol, connectionDone
 from twisted.protocols.policies import ProtocolWrapper, WrappingFactory
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
-from twisted.web.iweb import IAgentEndpointFactory
+from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from coltsfootshift.errors import ColtsfootshiftError
 
-__all__ = ["AnswerTooLongError", "MAX_HEAD_BYTES", "make_agent", "read_body"]
+__all__ = [
+    "AnswerTooLongError",
+    "ExpiringBody",
+    "MAX_HEAD_BYTES",
+    "RequestExpiredError",
+    "make_agent",
+    "read_body",
+]
 
 MAX_HEAD_BYTES = 64 * 1024  # of all heads of a response, informational ones included
 
@@ -27,6 +34,47 @@
     """The body of an answer is longer than its reader allows."""
 
 
+class RequestExpiredError(ColtsfootshiftError):
+    """A request was not sent, since its time had passed."""
+
+
+@implementer(IBodyProducer)
+class ExpiringBody:
+    """The body of a request that must not be sent after `valid_until`, in the reactor's seconds.
+
+    A connection may first have to be opened, and the process may be suspended meanwhile. A request
+    whose head has been sent without its body is not executed. Connections of `make_agent` send the
+    body in the same step in which they look at the time for the last time.
+    """
+
+    def __init__(self, reactor: Any, data: bytes, valid_until: float) -> None:
+        self.length = len(data)
+        self._reactor = reactor
+        self._data = data
+        self._valid_until = valid_until
+
+    @property
+    def expired(self) -> bool:
+        """Whether the body must not be sent any more."""
+        return bool(self._reactor.seconds() >= self._valid_until)
+
+    def startProducing(self, consumer: Any) -> Deferred[None]:
+        """Write the body, or fail with `RequestExpiredError` if it is too late."""
+        if self.expired:
+            return fail(RequestExpiredError("the request has expired"))
+        consumer.write(self._data)
+        return succeed(None)
+
+    def pauseProducing(self) -> None:
+        """Do nothing: the body has been written as a whole."""
+
+    def resumeProducing(self) -> None:
+        """Do nothing: the body has been written as a whole."""
+
+    def stopProducing(self) -> None:
+        """Do nothing: the body has been written as a whole."""
+
+
 def make_agent(reactor: Any, pool: HTTPConnectionPool) -> Any:
     """Return an HTTP agent that closes a connection if the head of a response is too long.
 
@@ -104,10 +152,11 @@
         return result
 
 
-class _HeadLimit(ProtocolWrapper):
-    """Counts the bytes that arrive between a request and the body of its response.
+class _Connection(ProtocolWrapper):
+    """Limits the head of a response, and sends a body that expires at once or not at all.
 
-    The HTTP client pauses its transport at the end of a head that is followed by a body.
+    It counts the bytes that arrive between a request and the body of its response. The HTTP client
+    pauses its transport at the end of a head that is followed by a body.
     """
 
     transport: Any
@@ -116,6 +165,31 @@
         super().__init__(factory, protocol)
         self._in_head = True
         self._head_bytes = 0
+        self._producer: Any = None
+
+    def registerProducer(self, producer: Any, streaming: bool) -> None:
+        """Remember the body that is written next."""
+        self._producer = producer
+        super().registerProducer(producer, streaming)
+
+    def unregisterProducer(self) -> None:
+        """Forget the body, which has been written."""
+        self._producer = None
+        super().unregisterProducer()
+
+    def write(self, data: bytes) -> None:
+        """Write bytes; those of an `ExpiringBody` are not left to the next turn of the reactor.
+
+        The process may be suspended before that turn and would send them however late it is.
+        """
+        super().write(data)
+        if not isinstance(self._producer, ExpiringBody):
+            return
+        if self._producer.expired:
+            self.transport.abortConnection()
+        elif IWriteDescriptor.providedBy(self.transport):
+            # What fails or is left over here is handled in the next turn.
+            self.transport.doWrite()
 
     def writeSequence(self, data: Any) -> None:
         """Begin to count anew; the head of a request is written as a sequence."""
@@ -138,9 +212,9 @@
             self.transport.abortConnection()
 
 
-class _HeadLimitFactory(WrappingFactory):
+class _ConnectionFactory(WrappingFactory):
     noisy = False
-    protocol = _HeadLimit
+    protocol = _Connection
 
 
 @implementer(IStreamClientEndpoint)
@@ -149,7 +223,7 @@
         self._endpoint = endpoint
 
     def connect(self, factory: Any) -> Deferred[Any]:
-        connecting: Deferred[Any] = self._endpoint.connect(_HeadLimitFactory(factory))
+        connecting: Deferred[Any] = self._endpoint.connect(_ConnectionFactory(factory))
         return connecting.addCallback(lambda wrapper: wrapper.wrappedProtocol)
 
 
--- a/tests/test_gateway_verification.py
+++ b/tests/test_gateway_verification.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+from unittest.mock import Mock
+
 import pytest
 from coltsfootshift_platform.engines import HttpEngine
 from hypothesis import given, settings
@@ -19,7 +21,9 @@
     run,
 )
 from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.interfaces import IWriteDescriptor
 from twisted.internet.testing import MemoryReactorClock, StringTransport
+from zope.interface import implementer
 
 from coltsfootshift.controllers.verification import VERIFICATION_SECONDS, VerifiedChunks
 from coltsfootshift.gateway.engines import PortError
@@ -196,3 +200,45 @@
     protocol = clock.tcpClients[0][2].buildProtocol(None)
     protocol.makeConnection(transport)
     assert (b'"operation":"start"' in transport.value()) == sent
+
+
+@implementer(IWriteDescriptor)
+class BufferingTransport(StringTransport):
+    """Keeps what is written until its reactor calls `doWrite`, as a connection of Twisted does.
+
+    The process is suspended for `suspended_for` seconds after the order has been written.
+    """
+
+    def __init__(self, clock, suspended_for):
+        super().__init__()
+        self.clock = clock
+        self.suspended_for = suspended_for
+        self.sent = b""
+        self.aborted = False
+
+    def write(self, data):
+        super().write(data)
+        self.clock.rightNow += self.suspended_for
+
+    def abortConnection(self):
+        self.aborted = True
+
+    def doWrite(self):
+        if not self.aborted:
+            self.sent = self.value()
+
+
+@pytest.mark.parametrize(
+    ("suspended_for", "sent"), [(0.0, True), (SUSPENDED_SECONDS, False)], ids=["runs", "suspended"]
+)
+def test_order_leaves_in_the_step_in_which_the_time_is_looked_at(suspended_for, sent):
+    """The process was suspended between that and the turn of the reactor that sends."""
+    clock = MemoryReactorClock()
+    engine = HttpEngine(clock, Address("10.0.0.9", 80))
+    engine.load("m", 2, 2, 0, False, clock.seconds() + VERIFICATION_SECONDS).addBoth(Mock())
+    transport = BufferingTransport(clock, suspended_for)
+    clock.tcpClients[0][2].buildProtocol(None).makeConnection(transport)
+    assert (b'"operation":"start"' in transport.sent) == sent
+    clock.rightNow += SUSPENDED_SECONDS
+    transport.doWrite()
+    assert (b'"operation":"start"' in transport.sent) == sent
