Logs: each failed read of the store, how long it was lost, and a change that is waited for

Nothing logged when a read that failed was sent or how long it was allowed to take, nor that an announced change was waited for.

--- a/src/coltsfootshift/cli/trace.py
+++ b/src/coltsfootshift/cli/trace.py
@@ -28,6 +28,7 @@
         "started",
         "store came back from an older copy",
         "store lost",
+        "store still lost",
         "store regained",
         "table learnt from a peer",
         "weights named",
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -475,6 +475,10 @@
         position, since = self._behind_since.get(table, (None, now))
         if position != cached:
             since = now
+            row: dict[str, object] = {"table": table.value, "peer": stream.peer_id}
+            reads = self._observer.reads_store(table)
+            row.update(held=cached.revision, reads=reads, seconds=patience)
+            logger.info("announced change awaited", extra=row)
         self._behind_since[table] = (cached, since)
         return now - since < patience
 
