Request an announced change in time, though nobody announces it again

Now a timer ends the wait, after 0.2 s, so that a change has spread within 0.3 s; an entry that has lost the store waits for nobody. What each peer has announced is kept until it is cached here, so that the timer can ask one that is still connected.

--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -146,6 +146,11 @@
         """Return whether this entry is to read a table from the store now."""
         return self.choose_start(table) is not None
 
+    def expects_answer(self, table: Table) -> bool:
+        """Return whether this entry reads a table from a store that answers it."""
+        own = self.roster.own
+        return own is not None and own.store_ms is not None and self.reads_store(table)
+
     def handle_answer(self, answer: TableAnswer) -> None:
         """Apply an answer of the store; announce it to the peers if it changed the tables."""
         if self.tables.apply(answer, self.reactor.seconds()):
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 from random import Random
+from typing import Any
 
 import msgspec
 from twisted.internet.task import LoopingCall
@@ -54,10 +55,12 @@
 REQUEST_TIMEOUT_SECONDS = 1.0  # a peer normally answers within a few round trips of milliseconds
 # Changes of endpoints are small, and a leaving endpoint must be known everywhere within 2 s.
 ENDPOINTS_REQUEST_TIMEOUT_SECONDS = 0.4
-# An answer of the store normally arrives within this time after the first announcement of a change.
-STORE_ANSWER_SECONDS = 0.4
+# An answer of the store normally arrives within this time after the first announcement of a change,
+# and a change must have spread 0.3 s after it.
+STORE_ANSWER_SECONDS = 0.2
 # An entry of the own region passes on what one of them has requested from another region.
-NEAR_ANSWER_SECONDS = 0.3
+NEAR_ANSWER_SECONDS = 0.2
+MIN_WAIT_SECONDS = 0.01  # shorter ones are over, whatever rounding leaves of them
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
 # Entries that are not heard of any more; one that restarts with stale seeds is found this way.
@@ -97,6 +100,10 @@
         """Return whether this process itself reads a table from the store."""
         return False
 
+    def expects_answer(self, table: Table) -> bool:
+        """Return whether this process reads a table, and the store is likely to answer soon."""
+        return self.reads_store(table)
+
 
 @dataclass(frozen=True, slots=True)
 class _PendingRequest:
@@ -139,7 +146,8 @@
         self._dialer = Dialer(context, Purpose.ENTRIES, self, rng)
         self._contacts = self._make_contacts()
         self._pending_requests: dict[Table, _PendingRequest] = {}
-        self._announced: dict[Table, tuple[TablePosition, PeerStream]] = {}
+        self._announced: dict[Table, dict[InstanceId, TablePosition]] = {t: {} for t in Table}
+        self._checks: dict[Table, Any] = {}
         self._behind_since: dict[Table, tuple[TablePosition, float]] = {}
         self._ticked_at = context.reactor.seconds()
         self._ticks = 0
@@ -203,7 +211,7 @@
 
     def knows_of_changes(self, table: Table) -> bool:
         """Return whether a peer has announced changes of a table that have not arrived yet."""
-        return table in self._announced
+        return bool(self._list_announcers(table))
 
     def send_engine_status(self, notice: EngineNotice) -> None:
         """Send the status of the engine to the connected entries."""
@@ -237,6 +245,7 @@
         peer = stream.peer_id
         for table in Table:
             self._remove_request(table, peer)
+            self._announced[table].pop(peer, None)
         streams = self._streams.get(peer, [])
         if stream in streams:
             streams.remove(stream)
@@ -381,8 +390,7 @@
                 unchanged = TableAnswer(table, (), row.revision, False, confirmed_at, row.era)
                 self._tables.apply(unchanged, now)
             elif announced > cached:
-                if announced > self._announced.get(table, (cached, stream))[0]:
-                    self._announced[table] = (announced, stream)
+                self._announced[table][stream.peer_id] = announced
                 self._request_changes(stream, table)
             if announced <= cached and self._lacks_version(row):
                 logger.info(
@@ -417,7 +425,9 @@
         each would send a copy of it. Another peer is asked if the stream is lost, or if there is no
         answer in time.
         """
-        if self._expects_change(table, stream):
+        seconds = self._find_wait(table, stream)
+        if seconds > MIN_WAIT_SECONDS:
+            self._schedule_check(table, seconds)
             return
         timeout = REQUEST_TIMEOUT_SECONDS
         if table is Table.ENDPOINTS:
@@ -456,31 +466,39 @@
         known = self._tables.get_operator_versions()
         return any(item.version > known.get(item.key, -1) for item in row.versions)
 
-    def _expects_change(self, table: Table, stream: PeerStream) -> bool:
-        """Return whether an announced change will probably come without a request to this peer.
+    def _find_wait(self, table: Table, stream: PeerStream) -> float:
+        """Return for how long an announced change may still come without a request to this peer.
 
-        That is so while this process reads the table itself, and while another entry of its region
-        requests a catalogue from the peer's region, until it has been behind the peers for
-        `STORE_ANSWER_SECONDS` or `NEAR_ANSWER_SECONDS` without any progress.
+        It probably comes while this process reads the table itself, and while another entry of its
+        region requests a catalogue from the peer's region. It is requested once the process has
+        been behind the peers for `STORE_ANSWER_SECONDS` or `NEAR_ANSWER_SECONDS`.
         """
         patience = 0.0
-        if self._observer.reads_store(table):
+        reads = self._observer.expects_answer(table)
+        if reads:
             patience = STORE_ANSWER_SECONDS
         elif table is Table.OPERATOR and not stream.peer_is_near:
             patience = 0.0 if self._roster.is_first_of_region() else NEAR_ANSWER_SECONDS
         if not patience:
-            return False
+            return 0.0
         now = self._context.reactor.seconds()
         cached = self._tables.get_position(table)
         position, since = self._behind_since.get(table, (None, now))
         if position != cached:
             since = now
             row: dict[str, object] = {"table": table.value, "peer": stream.peer_id}
-            reads = self._observer.reads_store(table)
             row.update(held=cached.revision, reads=reads, seconds=patience)
             logger.info("announced change awaited", extra=row)
         self._behind_since[table] = (cached, since)
-        return now - since < patience
+        return since + patience - now
+
+    def _schedule_check(self, table: Table, seconds: float) -> None:
+        """Look later whether an announced change has come; no other message may bring it up."""
+        pending = self._checks.get(table)
+        if pending is None or not pending.active():
+            self._checks[table] = self._context.reactor.callLater(
+                seconds, self._request_announced, table
+            )
 
     def _list_held_values(self, table: Table) -> list[HeldValue]:
         """Return what differences may begin from; records of endpoints are too small for them."""
@@ -590,16 +608,35 @@
             self._observer.tables_changed()
             if self._roster.own is not None:
                 self._broadcast(self._make_revision_report())
+        answered = TablePosition(message.era, message.revision)
+        self._request_newer(table, answered, stream.peer_id)
+
+    def _request_newer(self, table: Table, answered: TablePosition, answerer: InstanceId) -> None:
+        """Request what others have announced beyond the position that a peer has answered.
+
+        What was announced up to that position is not asked for again, even if the answer was of no
+        use, and neither is what the answering peer has announced.
+        """
+        positions = self._announced[table]
+        for peer, position in list(positions.items()):
+            if position <= answered or peer == answerer:
+                del positions[peer]
         self._request_announced(table)
 
     def _request_announced(self, table: Table) -> None:
-        """Request what was announced while an earlier change was on its way."""
-        announced = self._announced.pop(table, None)
-        if announced is None or announced[0] <= self._tables.get_position(table):
-            return
-        stream = announced[1]
-        if stream in self._streams.get(stream.peer_id, []):
-            self._request_changes(stream, table)
+        """Request what a peer has announced and what has not come otherwise."""
+        announcers = self._list_announcers(table)
+        if announcers:
+            self._request_changes(self._streams[announcers[0]][-1], table)
+
+    def _list_announcers(self, table: Table) -> list[InstanceId]:
+        """Return the connected peers that have announced what is not cached here, newest first."""
+        cached = self._tables.get_position(table)
+        positions = self._announced[table]
+        for peer, position in list(positions.items()):
+            if position <= cached or peer not in self._streams:
+                del positions[peer]
+        return sorted(positions, key=lambda peer: positions[peer], reverse=True)
 
     def _make_revision_report(self) -> TableRevisions:
         now = self._context.reactor.seconds()
--- a/tests/test_gateway_fleet.py
+++ b/tests/test_gateway_fleet.py
@@ -70,6 +70,8 @@
 from coltsfootshift.settings import Address
 from coltsfootshift.streams import StreamContext
 
+SPREAD_SECONDS = 0.3  # from the first entry that has a change to all that hear of it
+
 
 def make_row(name="entry-1", sequence=1, ready=True, leaving=False, domain="a"):
     return EntryRow(name, sequence, "10.0.0.1", 1, 2, "north", domain, ready, leaving)
@@ -194,6 +196,72 @@
     assert seen == requests
 
 
+class _Reader(Observer):
+    """Reads the tables itself; `expects` tells whether the store is likely to answer soon."""
+
+    def __init__(self, expects):
+        super().__init__(True)
+        self.expects = expects
+
+    def expects_answer(self, table):
+        return self.expects
+
+
+@pytest.mark.parametrize("table", list(Table))
+@pytest.mark.parametrize(
+    ("observer", "near_peer", "seconds"),
+    [
+        (_Reader(True), True, SPREAD_SECONDS),
+        (_Reader(False), True, 0.0),
+        (Observer(), False, SPREAD_SECONDS),
+    ],
+    ids=["own read hangs", "store is lost", "nobody near asks"],
+)
+def test_change_that_is_announced_once_is_requested_in_time(
+    fleet, clock, table, observer, near_peer, seconds
+):
+    """The end of the wait for another answer was noticed with the next announcement only."""
+    fleet._roster.merge([make_row(f"other-{number}") for number in range(30)], 0.0)
+    fleet._observer = observer
+    stream = Stream()
+    stream.peer_is_near = near_peer
+    fleet.stream_opened(stream)
+    report = TableRevisions([TableRevision(table.value, 5, 0.1)], 0.0)
+    fleet.stream_received(stream, report)
+    clock.advance(seconds)
+    assert stream.count_requests() == 1
+
+
+@pytest.mark.parametrize(
+    ("table", "timeout"),
+    [
+        (Table.OPERATOR, REQUEST_TIMEOUT_SECONDS),
+        (Table.ENDPOINTS, ENDPOINTS_REQUEST_TIMEOUT_SECONDS),
+    ],
+)
+@pytest.mark.parametrize("lost", ["stream", "answer"])
+def test_request_without_an_answer_goes_to_another_peer_that_announced_it(
+    fleet, clock, table, timeout, lost
+):
+    """The end of the time for an answer was noticed with the next announcement only."""
+    report = TableRevisions([TableRevision(table.value, 5, 0.1)], 0.0)
+    streams = [Stream(), Stream(peer_id="entry-3")]
+    for stream in streams:
+        fleet.stream_opened(stream)
+    for stream in streams:
+        fleet.stream_received(stream, report)
+    assert [stream.count_requests() for stream in streams] == [1, 0]
+    if lost == "stream":
+        fleet.stream_closed(streams[0], "lost")
+    else:
+        clock.advance(timeout)
+    assert [stream.count_requests() for stream in streams] == [1, 1]
+    answer = TableAnswer(table, (), 5, False, clock.seconds())
+    fleet._tables.apply(answer, clock.seconds())
+    clock.advance(timeout)
+    assert [stream.count_requests() for stream in streams] == [1, 1]
+
+
 @pytest.mark.parametrize(("incarnation", "aborted"), [("1", False), ("2", True)])
 def test_second_stream_of_a_peer_replaces_only_an_older_start(fleet, incarnation, aborted):
     """A stream of another incarnation aborts the earlier one.
