Ask another peer for an announced change when the one that was asked does not answer

A timer, and the loss of the stream, now lead to one that has announced the change. The four rows of test_request_without_an_answer_goes_to_another_peer_that_announced_it failed before.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -252,6 +252,8 @@
         if not streams:
             self._streams.pop(peer, None)
             logger.info("peer disconnected", extra={"peer": peer, "cause": reason})
+        for table in Table:
+            self._request_announced(table)
 
     def stream_received(self, stream: PeerStream, message: Message) -> None:
         """Dispatch a message received from a peer."""
@@ -445,7 +447,8 @@
         """Request what changed after a position, unless another request has not timed out yet."""
         now = self._context.reactor.seconds()
         pending = self._pending_requests.get(table)
-        if pending is not None and now - pending.sent_at < timeout:
+        if pending is not None and now - pending.sent_at < timeout - MIN_WAIT_SECONDS:
+            self._schedule_check(table, pending.sent_at + timeout - now)
             return
         is_whole = after == TablePosition()
         self._pending_requests[table] = _PendingRequest(stream.peer_id, now, is_whole)
@@ -458,6 +461,7 @@
                 "unanswered": pending.peer if pending is not None else None,
             },
         )
+        self._schedule_check(table, timeout)
         held = [] if is_whole else self._list_held_values(table)
         stream.send(TableChangesRequest(table.value, after.revision, after.era, held))
 
@@ -493,12 +497,17 @@
         return since + patience - now
 
     def _schedule_check(self, table: Table, seconds: float) -> None:
-        """Look later whether an announced change has come; no other message may bring it up."""
-        pending = self._checks.get(table)
-        if pending is None or not pending.active():
-            self._checks[table] = self._context.reactor.callLater(
-                seconds, self._request_announced, table
-            )
+        """Look later whether an announced change has come; no other message may bring it up.
+
+        A check that is due sooner leads to this one if it is still needed.
+        """
+        clock = self._context.reactor
+        planned = self._checks.get(table)
+        if planned is not None and planned.active():
+            if planned.getTime() <= clock.seconds() + seconds:
+                return
+            planned.cancel()
+        self._checks[table] = clock.callLater(seconds, self._request_announced, table)
 
     def _list_held_values(self, table: Table) -> list[HeldValue]:
         """Return what differences may begin from; records of endpoints are too small for them."""
@@ -624,10 +633,15 @@
         self._request_announced(table)
 
     def _request_announced(self, table: Table) -> None:
-        """Request what a peer has announced and what has not come otherwise."""
-        announcers = self._list_announcers(table)
-        if announcers:
-            self._request_changes(self._streams[announcers[0]][-1], table)
+        """Request what a peer has announced and what has not come otherwise.
+
+        A peer that has not answered is asked again only once it has announced something again.
+        """
+        pending = self._pending_requests.get(table)
+        for peer in self._list_announcers(table):
+            if pending is None or peer != pending.peer:
+                self._request_changes(self._streams[peer][-1], table)
+                return
 
     def _list_announcers(self, table: Table) -> list[InstanceId]:
         """Return the connected peers that have announced what is not cached here, newest first."""
