--- a/src/coltsfootshift/gateway/table_reader.py
+++ b/src/coltsfootshift/gateway/table_reader.py
@@ -41,6 +41,8 @@
 FIRST_WATCH_WAIT_SECONDS = (0.2, 0.8)
 # While other processes read a table for this one, it checks this often that they still do.
 IDLE_POLL_SECONDS = 0.1
+# Until the store has confirmed a table again after an outage, keys are refused.
+REPEATED_WATCH_WAIT_SECONDS = 0.02
 REREAD_PAUSE_SECONDS = 0.2  # after an answer that is of no use, or that the history is lost
 
 logger = get_logger("gateway.reader")
@@ -75,6 +77,7 @@
         self._rng = rng
         self._stopped = False
         self._waits = dict(WATCH_WAIT_SECONDS)
+        self._repeated: set[Table] = set()  # whose last read failed
         self._reads = StoreReads(rng, reactor.seconds())
         self._lost_at: float | None = None
         self._running: dict[RequestId, Deferred[Any]] = {}
@@ -138,6 +141,7 @@
             try:
                 answer = await self._read(table, after, whole, name)
                 self._handle(Answered(name))
+                self._repeated.discard(table)
                 if whole:
                     self._consumer.record_contact(True, self.reactor.seconds() - sent_at)
                 self._apply(answer)
@@ -145,6 +149,7 @@
             except Exception as error:
                 if self._stopped:
                     return
+                self._repeated.add(table)
                 reread = reread or not isinstance(error, StoreError) or error.history_lost
                 self._log_failure(table, error, self.reactor.seconds() - sent_at)
                 await self._handle_error(name, error)
@@ -155,6 +160,8 @@
         if whole:
             return await self._run(Sent(name), self.fetch_table(table, name))
         wait = self._rng.uniform(*self._waits[table])
+        if table in self._repeated:
+            wait = REPEATED_WATCH_WAIT_SECONDS
         return await self._run(Sent(name, wait), self.fetch_changes(table, after, wait, name))
 
     async def _run(self, sent: Sent, coroutine: Coroutine[Any, Any, Any]) -> Any:
--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -47,6 +47,7 @@
         self.readers = readers
         self.positions = dict.fromkeys(Table, TablePosition())
         self.arrivals = {}
+        self.confirmations = []
         self.contacts = []
 
     def choose_start(self, table):
@@ -56,6 +57,7 @@
         self.positions[answer.table] = max(self.positions[answer.table], answer.position)
         if answer.table is Table.OPERATOR:
             self.arrivals.setdefault(answer.revision, self.clock.seconds())
+            self.confirmations.append((self.clock.seconds(), answer.confirmed_at))
 
     def record_contact(self, reached, seconds=0.0):
         self.contacts.append(reached)
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,6 +11,9 @@
 from simulated_store import FollowingConsumer, Outage, SimulatedStore
 from twisted.internet.task import Clock
 
+from coltsfootshift.controllers.storereads import PROBE_SECONDS
+from coltsfootshift.gateway.table_cache import Table
+from coltsfootshift.gateway.table_reader import WATCH_WAIT_SECONDS
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
 
@@ -62,6 +65,17 @@
     assert median(delays) < MEDIAN_RETURN_SECONDS
 
 
+@pytest.mark.parametrize(("kind", "x"), KINDS)
+def test_catalogue_is_confirmed_at_once_by_the_first_read_after_an_outage(monkeypatch, kind, x):
+    """Keys were refused for as long as that read waited for a change."""
+    for seed in range(SEEDS):
+        starts_at = 4.0 + Random(seed).random()
+        outage = Outage(kind, starts_at, starts_at + 6.0, x)
+        consumer, _, _ = follow(monkeypatch, seed, [outage], outage.end + 4.0)
+        after = [at for at, since in consumer.confirmations if since >= outage.end]
+        assert min(after) - outage.end <= PROBE_SECONDS + WATCH_WAIT_SECONDS[Table.OPERATOR][0]
+
+
 @pytest.mark.parametrize("gap", [0.3, 1.0, 3.0])
 def test_change_is_in_force_soon_after_a_series_of_outages(monkeypatch, gap):
     """Each outage of another kind than the one before; a wait must not outlast any of them."""
