Deny nothing by a catalogue that may be outdated

Callers gave up on a 404 for a route that had been added while the store was away: an entry whose catalogue was last confirmed longer ago than a change may take to be in force (2 s) cannot know that the route or key is not there. It is the same cause as that of the late reads, a belief that outlives what it was held under; so far only keys looked at the age, for their revocation. Such a request is now refused as not run, with a time to come back. Three rows of test_nothing_is_denied_by_a_catalogue_that_may_be_outdated failed before, with 404 and 401.

--- a/src/coltsfootshift/gateway/checks.py
+++ b/src/coltsfootshift/gateway/checks.py
@@ -78,18 +78,22 @@
 
 
 class RouteCheck(Check):
-    """Finds the route and chooses one of its services at random by weight."""
+    """Finds the route and chooses one of its services at random by weight.
 
-    def __init__(self, rng: Random) -> None:
+    `config_within` is the time in seconds within which a change of the catalogue must be in force.
+    """
+
+    def __init__(self, rng: Random, config_within: float) -> None:
         self._rng = rng
+        self._config_within = config_within
 
     def find_refusal(
         self, admission: Admission, tables: TableCache, now: float
     ) -> Rejection | None:
         """Deny requests without a route.
 
-        While no catalogue is known, or the route may be one that cannot be read, the request is
-        refused as not run instead.
+        While no catalogue is known, or the route may be one that cannot be read or that has been
+        added since the catalogue was confirmed, the request is refused as not run instead.
         """
         if tables.catalogue is None or not tables.complete:
             return NotRun("no catalogue is known yet", retry_after=CATALOGUE_RETRY_SECONDS)
@@ -98,7 +102,7 @@
         if tables.catalogue.unread.may_hide_route(head.host, head.path, route):
             return NotRun("the route cannot be read", retry_after=CATALOGUE_RETRY_SECONDS)
         if route is None:
-            return Denied("no route", 404)
+            return _deny(tables, now, self._config_within, Denied("no route", 404))
         admission.route = route
         admission.service = tables.catalogue.services.get(self._draw_service(route))
         if admission.service is None:
@@ -115,11 +119,13 @@
 class KeyCheck(Check):
     """Finds the team of a key while the catalogue is recent enough to show a revocation.
 
-    `revoke_within` is the time in seconds within which a revoked key must be refused.
+    `revoke_within` is the time in seconds within which a revoked key must be refused, and
+    `config_within` that within which an added key must be accepted.
     """
 
-    def __init__(self, revoke_within: float) -> None:
+    def __init__(self, revoke_within: float, config_within: float) -> None:
         self._max_age = revoke_within - KEY_AGE_MARGIN_SECONDS
+        self._config_within = config_within
 
     def find_refusal(
         self, admission: Admission, tables: TableCache, now: float
@@ -127,7 +133,8 @@
         """Deny unknown keys; refuse all keys while the catalogue is too old.
 
         That the route needs no key is outdated then, too: callers present none where none is
-        needed. A key that may be one of a team that cannot be read is refused as not run.
+        needed. A key that may be one of a team that cannot be read, or that has been added since
+        the catalogue was confirmed, is refused as not run.
         """
         assert tables.catalogue is not None and admission.route is not None
         teams = tables.catalogue.teams
@@ -136,21 +143,32 @@
             return None
         age = tables.measure_age(Table.OPERATOR, now)
         if age > self._max_age:
-            return NotRun(
-                f"the catalogue was last confirmed {age:.1f} s ago",
-                retry_after=CATALOGUE_RETRY_SECONDS,
-            )
+            return _refuse_outdated(age)
         if teams is None or not needs_key:
             return None
         team = teams.get(admission.head.key)
         if team is None and tables.catalogue.unread.teams:
             return NotRun("the key's team cannot be read", retry_after=CATALOGUE_RETRY_SECONDS)
         if team is None:
-            return Denied("unknown key", 401)
+            return _deny(tables, now, self._config_within, Denied("unknown key", 401))
         admission.team = team
         return None
 
 
+def _deny(tables: TableCache, now: float, config_within: float, denied: Denied) -> Rejection:
+    """Return a denial, or a refusal as not run if a newer catalogue may be in force elsewhere.
+
+    Callers give up when they are denied, and come back when they are refused.
+    """
+    age = tables.measure_age(Table.OPERATOR, now)
+    return denied if age <= config_within else _refuse_outdated(age)
+
+
+def _refuse_outdated(age: float) -> NotRun:
+    text = f"the catalogue was last confirmed {age:.1f} s ago"
+    return NotRun(text, retry_after=CATALOGUE_RETRY_SECONDS)
+
+
 class LimitCheck(Check):
     """Sets when the request expires: at the caller's deadline or the route's timeout."""
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -97,6 +97,7 @@
     budget_ratio: float
     budget_allowance: float
     budget_window: float
+    config_within: float
 
 
 @dataclass(slots=True)
@@ -140,8 +141,8 @@
         self._rng = rng
         self._crash_check = CrashCheck(self.beliefs.crashes)
         self._checks: list[Check] = [
-            RouteCheck(rng),
-            KeyCheck(bounds.revoke_within),
+            RouteCheck(rng, bounds.config_within),
+            KeyCheck(bounds.revoke_within, bounds.config_within),
             LimitCheck(),
             self._crash_check,
         ]
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -33,7 +33,7 @@
 ROUTE_TIMEOUT_SECONDS = 1.0
 ENGINE_SPEC = EngineSpec(16, 0.00887, 0.0000388, 19100.0, 5, 48, 49152, 977.0, 94.0, ("m",))
 RETRY_BUDGET = (0.2, 100.0, 10.0)
-BOUNDS = GatewayBounds(3.0, 5.0, 8.0, *RETRY_BUDGET)
+BOUNDS = GatewayBounds(3.0, 5.0, 8.0, *RETRY_BUDGET, config_within=2.0)
 
 
 class _SocketHandle:
--- a/tests/test_gateway_missing_knowledge.py
+++ b/tests/test_gateway_missing_knowledge.py
@@ -23,6 +23,7 @@
 from coltsfootshift.settings import Address
 
 REVOKE_SECONDS = 5.0
+CONFIG_SECONDS = 2.0  # within which a change of the catalogue must be in force
 DIGEST = "ab" * 32
 
 
@@ -120,6 +121,25 @@
     assert read_status(keyed) == (503 if age >= REVOKE_SECONDS else None)
 
 
+@pytest.mark.parametrize(
+    ("route", "key", "age", "status"),
+    [
+        ("nowhere", KEY, CONFIG_SECONDS, 404),
+        ("nowhere", KEY, CONFIG_SECONDS + 0.1, 503),
+        ("nowhere", "", 60.0, 503),
+        ("read", "other", CONFIG_SECONDS, 401),
+        ("read", "other", CONFIG_SECONDS + 0.1, 503),
+    ],
+)
+def test_nothing_is_denied_by_a_catalogue_that_may_be_outdated(route, key, age, status):
+    """A route or key that was added while the store was away was denied, and callers gave up."""
+    harness = GatewayHarness(endpoints=1)
+    harness.clock.advance(age)
+    caller = harness.send_request(route, key=key)
+    assert (b"retry-after" in caller.value().lower()) == (status == 503)
+    assert read_status(caller) == status
+
+
 @pytest.mark.parametrize(
     ("fields", "accepted"),
     [
