Simulate the readers of a fleet with the product's own, and silences of the store for some or all entries

The simulation had a reader of its own, with a time limit of 2 s that never grew, and a store that answered the requests of an outage after it. So the rows for entries that are cut from the store passed while the real reader hung on for 8 s. It now runs TableReader, a request that is under way in an outage gets no answer, and 36 more rows cut half, most or all of the entries for 1 to 13 s beside changes.

--- a/tests/catalogue_simulation.py
+++ b/tests/catalogue_simulation.py
@@ -10,21 +10,22 @@
 from coltsfootshift_platform.items import StoreItemDecoder
 from gateway_harness import BOUNDS
 from platform_standins import make_config
+from twisted.internet.defer import Deferred
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.codec import decode_message, encode_message
 from coltsfootshift.gateway.entry_node import GatewayEntry
 from coltsfootshift.gateway.nodes import NodeConfig
-from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer
-from coltsfootshift.gateway.table_reader import IDLE_POLL_SECONDS, WATCH_WAIT_SECONDS
+from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TablePosition
+from coltsfootshift.gateway.table_reader import StoreError, TableReader
 from coltsfootshift.ids import FailureDomain, InstanceId, Role
+from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
 
 STEP_SECONDS = 0.02
 STORE_SECONDS = 0.004
 REGION_DELAY_SECONDS = 0.003
 BASE64_SHARE = 4 / 3
-READ_TIMEOUT_SECONDS = 2.0
 # What an entry needs after a disturbance of its own before it is held to the bounds.
 CONTACT_SECONDS = 3.0
 STORE_REGION = "north"
@@ -67,6 +68,44 @@
             self.peer.entry.fleet.stream_received(other, decode_message(frame))
 
 
+class _NodeClock:
+    """The clock of a node: what is due while it is frozen happens when it runs again."""
+
+    def __init__(self, node):
+        self.seconds = node.simulation.clock.seconds
+        self.callLater = self._call_later
+        self._node = node
+
+    def _call_later(self, seconds, function, *args):
+        action = partial(function, *args)
+        clock = self._node.simulation.clock
+        return clock.callLater(seconds, self._node.when_running, action)
+
+
+class _Reader(TableReader):
+    """Reads the simulated store, as `StoreWatcher` does that of the platform."""
+
+    def __init__(self, node):
+        super().__init__(_NodeClock(node), node.entry, Metrics(), node.simulation.rng)
+        self._node = node
+
+    async def fetch_table(self, table, request):
+        return await self._node.simulation.store.read(self._node, table, TablePosition(), 0.0)
+
+    async def fetch_changes(self, table, after, wait, request):
+        answer = await self._node.simulation.store.read(self._node, table, after, wait)
+        if answer.era != after.era:
+            older = answer.era < after.era
+            raise StoreError("another era", answered=older, history_lost=not older)
+        return answer
+
+    async def fetch_probe(self, request):
+        await self._node.simulation.store.read(self._node, None, TablePosition(), 0.0)
+
+    async def close_connections(self, request):
+        pass
+
+
 class Node:
     """One entry and what happens to it: `frozen` and `cut` (from the store) until a time."""
 
@@ -77,7 +116,8 @@
         self.frozen_until = self.cut_until = self.dead_until = 0.0
         self.waiting = []
         self.disturbed_until = 0.0
-        self.polls = 0
+        self.starts = 0
+        self.reader = None
         self.start()
 
     @property
@@ -95,9 +135,10 @@
             clock, config, StoreItemDecoder(), PlatformDialect(), address, BOUNDS
         )
         self.entry.fleet._choose_peers = lambda: None
-        self.polls += 1
-        self.simulation.call_later(0.0, lambda number=self.polls: self.poll(number))
-        self.simulation.call_later(0.0, lambda number=self.polls: self.tick(number))
+        self.starts += 1
+        self.reader = _Reader(self)
+        self.simulation.call_later(0.0, partial(self.when_running, self.reader.start))
+        self.simulation.call_later(0.0, lambda number=self.starts: self.tick(number))
 
     def runs(self):
         now = self.simulation.clock.seconds()
@@ -111,22 +152,10 @@
             self.waiting.append(action)
 
     def tick(self, number):
-        if number == self.polls:
+        if number == self.starts:
             self.when_running(self.entry.fleet._tick)
             self.simulation.call_later(0.5, lambda: self.tick(number))
 
-    def poll(self, number):
-        """Read the operator's table as `StoreWatcher` does."""
-        if number == self.polls:
-            self.when_running(lambda: self._poll(number))
-
-    def _poll(self, number):
-        position = self.entry.choose_start(Table.OPERATOR)
-        if position is None:
-            self.simulation.call_later(IDLE_POLL_SECONDS, lambda: self.poll(number))
-            return
-        self.simulation.store.read(self, number, position)
-
 
 class Store:
     """The store in the first region: revisions, eras, answers after a wait or a change."""
@@ -149,45 +178,36 @@
         self.revision = self.history[-1].revision
         self.history = [Item(i.key, i.revision, i.value, self.era) for i in self.history]
 
-    def read(self, node, number, position):
-        now = self.simulation.clock.seconds()
-        wait = self.simulation.rng.uniform(*WATCH_WAIT_SECONDS[Table.OPERATOR])
-        self._answer(node, number, position, now, now + wait)
+    def read(self, node, table, position, wait):
+        """Return the answer, once there is a change or another era, or at the end of the wait.
+
+        A request that is under way in an outage gets no answer, also after it. `table` is None for
+        a probe. The table of endpoints is empty.
+        """
+        done = Deferred()
+        until = self.simulation.clock.seconds() + wait
+        self._answer(done, node, table, position, until)
+        return done
 
-    def _answer(self, node, number, position, started, until):
-        """Answer at once if there is a change or another era, else at the end of the wait."""
+    def _answer(self, done, node, table, position, until):
         clock = self.simulation.clock
-        again = partial(self._answer, node, number, position, started, until)
-        if number != node.polls:
-            return
-        if clock.seconds() < max(node.cut_until, self.down_until):
-            if clock.seconds() - started > READ_TIMEOUT_SECONDS:
-                node.entry.record_contact(False)
-                self.simulation.call_later(0.2, lambda: node.poll(number))
-            else:
-                self.simulation.call_later(STEP_SECONDS, again)
+        if done.called or clock.seconds() < max(node.cut_until, self.down_until):
             return
         whole = not position.revision or position.era != self.era
-        items = [item for item in self.history if whole or item.revision > position.revision]
-        if whole:
-            items = items[-1:]
-        if not items and clock.seconds() < until:
+        items = []
+        if table is Table.OPERATOR:
+            items = [item for item in self.history if whole or item.revision > position.revision]
+            items = items[-1:] if whole else items
+        if not items and not whole and clock.seconds() < until:
+            again = partial(self._answer, done, node, table, position, until)
             self.simulation.call_later(STEP_SECONDS, again)
             return
         size = 100 + sum(int(len(item.value) * BASE64_SHARE) for item in items)
-        answer = TableAnswer(
-            Table.OPERATOR, tuple(items), self.revision, whole, clock.seconds(), self.era
-        )
+        answer = TableAnswer(table, tuple(items), self.revision, whole, clock.seconds(), self.era)
 
         def deliver():
-            if number == node.polls:
-                if whole:
-                    seconds = clock.seconds() - answer.confirmed_at + STORE_SECONDS
-                    node.entry.record_contact(True, seconds)
-                else:
-                    node.entry.record_contact(True)
-                node.entry.handle_answer(answer)
-                node.poll(number)
+            if not done.called:
+                done.callback(answer)
 
         send = partial(self.simulation.transfer, None, node, size, deliver)
         self.simulation.call_later(STORE_SECONDS, send)
@@ -253,7 +273,8 @@
     def restart(self, node, seconds):
         """Kill a node, and start it again later."""
         node.dead_until = self.clock.seconds() + seconds
-        node.polls += 1
+        node.starts += 1
+        node.reader.stop()
         self._disturb(node, seconds)
         for other in self.nodes:
             former = other.streams.pop(node.name, None)
--- a/tests/test_gateway_held_catalogue.py
+++ b/tests/test_gateway_held_catalogue.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from random import Random
+
 import pytest
 from catalogue_simulation import Simulation
 
@@ -94,6 +96,27 @@
     assert {node.version for node in simulation.nodes} == {6}
 
 
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("share", [0.5, 0.7, 1.0])
+@pytest.mark.parametrize("seed", range(4))
+def test_change_is_in_force_in_time_after_the_store_was_silent(site, share, seed):
+    """Silent store: reads that it never answers, for some entries or all, beside changes."""
+    simulation = start(site, seed=seed)
+    rng = Random(seed)
+    seconds = rng.uniform(1.0, 13.0)
+    for node in rng.sample(simulation.nodes, max(1, round(share * len(simulation.nodes)))):
+        simulation.cut_from_store(node, seconds)
+        node.disturbed_until = 0.0
+    down = simulation.clock.seconds() + seconds
+    while simulation.clock.seconds() < down:
+        simulation.advance(0.5)
+        simulation.store.put(simulation.store.revision + 1, SMALL)
+    published = simulation.store.revision
+    simulation.advance(CONFIG_SECONDS)
+    assert all(node.version >= published for node in simulation.nodes)
+    check_changes(simulation, [0.1, 0.4, 1.0, 2.0], first=published + 1)
+
+
 @pytest.mark.parametrize("site", ["small", "one far"])
 @pytest.mark.parametrize("down", [0.5, 6.0])
 @pytest.mark.parametrize("restarted", [0, 1, 9])
