Soak: the store is away for some entries or all, with changes in the outage and right after it

The soak silenced a store for 4 s at most and never asked for a change that was published within the seconds after its return. Each seed now ends with two outages of 1 to 8 s (refused, stalled, held in one or both directions) and asks every entry for a route that was added during the outage and one that was added up to 1 s after it, within 2 s.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -30,11 +30,13 @@
 )
 from soak.ledger import SETTLE_SECONDS, Call, Kind
 from soak.members import Member, SoakFleet
+from soak.outages import StoreOutage
 from soak.spoilt import draw_late_order, draw_spoilt_knowledge
 
 FAULT_PERIOD_SECONDS = 10.0
 FAULT_COUNT = 14
 CALLER_COUNT = 6
+OUTAGE_COUNT = 2
 RECOVERY_SECONDS = 12.0  # `recover_s` of the deployments
 CONFIG_SECONDS = 2.0  # `config_ms`
 VERSION_SECONDS = 10.0  # `version_ms`, and 2 s for engines to finish loading
@@ -92,6 +94,7 @@
         for plan in result.plans:
             _run_plan(fleet, plan)
             _check_recovery(fleet, result, probing)
+        _check_outages(fleet, result, probing, Random(f"outage {seed}"))
         _check_changes(fleet, result, probing)
         _check_drain(fleet, result)
         for member in fleet.members:
@@ -140,6 +143,23 @@
     time.sleep(max(0.0, faults_ended_at + SETTLE_SECONDS - time.monotonic()))
 
 
+def _check_outages(fleet: SoakFleet, result: Result, caller: Caller, rng: Random) -> None:
+    """Check that changes are in force in time after the store was away, more than once."""
+    for _ in range(OUTAGE_COUNT):
+        outage = StoreOutage(fleet, rng)
+
+        def await_route(
+            member: Member, route: str, since: float, outage: StoreOutage = outage
+        ) -> None:
+            remaining = CONFIG_SECONDS - (time.monotonic() - since)
+            text = f"{member.name} serves {route} after {outage!r}"
+            _expect(
+                result, text, remaining, lambda: _serves(fleet, caller, member, Kind.LOOK, route)
+            )
+
+        outage.play(fleet, await_route)
+
+
 def _check_changes(fleet: SoakFleet, result: Result, caller: Caller) -> None:
     """Check that a changed route and a new version of the weights are applied in time."""
     fleet.routes.append("after")
