--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -196,3 +196,30 @@
     def _answer(self, request, status, body):
         if not request.closed and not request.done.called:
             request.done.callback(_Response(self.clock, request, status, body))
+
+
+class RawStore:
+    """Takes the place of `treq`; answers with a body after a delay, never if that is None."""
+
+    def __init__(self, clock, body, find_delay):
+        self.clock, self._body, self._find_delay = clock, body, find_delay
+        self.calls = self.open = self.most_open = 0
+
+    def get(self, url, agent, reactor, unbuffered, timeout=None):
+        request = _Request(self, url, {}, timeout)
+        self.calls += 1
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        request.done.addBoth(self._close)
+        delay = self._find_delay(self.clock.seconds())
+        if delay is not None:
+            self.clock.callLater(delay, self._answer, request)
+        return request.done
+
+    def _close(self, result):
+        self.open -= 1
+        return result
+
+    def _answer(self, request):
+        if not request.closed and not request.done.called:
+            request.done.callback(_Response(self.clock, request, 200, self._body))
