Test of endless answers: polls of the product's own interface end after 3 s, on one connection

A poll is now kept for 20 s, and a further one is sent beside it while nothing arrives, so that three rows waited longer than their clients run and counted a tenth connection.

--- a/tests/endless_clients.py
+++ b/tests/endless_clients.py
@@ -19,6 +19,7 @@
 from twisted.internet import reactor
 from twisted.internet.defer import Deferred
 
+from coltsfootshift.catalogueservice import http as catalogue_http
 from coltsfootshift.catalogueservice.http import HttpPlatform
 from coltsfootshift.controllers.storereads import RequestId
 from coltsfootshift.engines.http import HttpEndpoint
@@ -30,6 +31,7 @@
 
 CLOSE_SECONDS = 0.5
 WEIGHTS_SECONDS = 3.0  # less than the client's own limit, so that the test ends soon
+POLL_SECONDS = 3.0  # the same
 
 
 class _NoTables(TableConsumer):
@@ -83,6 +85,8 @@
 
 def main(port: int, seconds: float) -> None:
     weight_http.REQUEST_TIMEOUT_SECONDS = WEIGHTS_SECONDS
+    catalogue_http.MAX_TIMEOUT_SECONDS = POLL_SECONDS
+    catalogue_http.LATE_SECONDS = 2 * POLL_SECONDS  # one connection for each client
     calls = list_calls(Address("127.0.0.1", port))
     running = set(calls)
 
