A store that has just answered is not lost by probes from before that answer

Only the time since the latest answer counts now, and probes older than an answered request are given up.

--- a/src/coltsfootshift/controllers/storereads.py
+++ b/src/coltsfootshift/controllers/storereads.py
@@ -32,8 +32,8 @@
 MAX_RESPONSE_SECONDS = 8.0  # a store that is slower than this cannot be followed
 # Bounds the time from the return of the store to the first answer.
 PROBE_SECONDS = 0.4
-# All entries together send at most this many probes, as long as that leaves each one of them a
-# probe in `MAX_PROBE_SECONDS`.
+# Of all entries together, or twice as many by the random part of the pauses, as long as that leaves
+# each one of them a probe in `MAX_PROBE_SECONDS`.
 PROBES_PER_SECOND = 50.0
 MAX_PROBE_SECONDS = 1.5  # a catalogue must be in force 2 s after the return of the store
 PROBE_LIFETIME_SECONDS = 2.0  # answers of a slow store count until then
@@ -176,6 +176,7 @@
         self._requests: dict[RequestId, _Request] = {}
         self._paused: dict[RequestId, float] = {}
         self._answered_up_to = -inf  # when the latest request was sent that has been answered
+        self._answered_at = -inf
         self._lost = False
         self._probed_at = now
         self._pause_share = rng.uniform(0.5, 1.0)
@@ -229,6 +230,7 @@
         if request is None:
             return []
         actions: list[StoreAction] = []
+        self._answered_at = now
         self._answered_up_to = max(self._answered_up_to, request.sent_at)
         self._probes_answered += request.is_probe
         if self._lost:
@@ -239,9 +241,7 @@
             if request.sent_at >= failed_at:
                 del self._paused[paused]
                 actions.append(Resume(paused))
-        if not self._is_in_doubt(now):
-            actions += self._abandon_probes()
-        return actions
+        return actions + self._abandon_probes(now)
 
     def _abandon_unanswered(self, now: float) -> list[StoreAction]:
         """Give up the late reads that were due before a request was sent that has been answered."""
@@ -254,10 +254,12 @@
                 actions.append(Abandon(name))
         return actions
 
-    def _abandon_probes(self) -> list[StoreAction]:
+    def _abandon_probes(self, now: float) -> list[StoreAction]:
+        """Give up the probes that cannot tell anything new."""
         actions: list[StoreAction] = []
+        in_doubt = self._is_in_doubt(now)
         for name, request in list(self._requests.items()):
-            if request.is_probe:
+            if request.is_probe and (not in_doubt or request.sent_at < self._answered_up_to):
                 del self._requests[name]
                 actions.append(Abandon(name))
         return actions
@@ -288,7 +290,8 @@
                 self._paused[name] = now
             actions.append(Abandon(name))
         unanswered = [r.sent_at for r in self._requests.values() if r.is_probe]
-        if unanswered and now >= min(unanswered) + RESPONSE_SECONDS and self._is_in_doubt(now):
+        quiet_since = max(min(unanswered, default=inf), self._answered_at)
+        if now >= quiet_since + RESPONSE_SECONDS and self._is_in_doubt(now):
             actions += self._report_loss()
         if now >= self._find_probe_time(now):
             self._probed_at = now
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -11,7 +11,17 @@
 from simulated_store import FollowingConsumer, Outage, SimulatedStore
 from twisted.internet.task import Clock
 
-from coltsfootshift.controllers.storereads import PROBE_SECONDS
+from coltsfootshift.controllers.storereads import (
+    PROBE_SECONDS,
+    RESPONSE_SECONDS,
+    Answered,
+    ReportContact,
+    RequestId,
+    SendProbe,
+    Sent,
+    StoreReads,
+    TimeReached,
+)
 from coltsfootshift.gateway.table_cache import Table
 from coltsfootshift.gateway.table_reader import WATCH_WAIT_SECONDS
 from coltsfootshift.metrics import Metrics
@@ -76,6 +86,20 @@
         assert min(after) - outage.end <= PROBE_SECONDS + WATCH_WAIT_SECONDS[Table.OPERATOR][0]
 
 
+@pytest.mark.parametrize(("again", "lost"), [(0.03, False), (RESPONSE_SECONDS, True)])
+def test_store_does_not_count_as_lost_by_probes_from_before_its_last_answer(again, lost):
+    """A poll from before the silence was answered at its end; the probes of the silence never."""
+    reads = StoreReads(Random(1), now=0.0)
+    early, late, probe = RequestId("endpoints"), RequestId("operator"), RequestId("probe")
+    reads.handle(Sent(early, wait=9.0), 1.0)
+    reads.handle(Sent(late, wait=0.5), 3.0)
+    assert reads.handle(TimeReached(), 4.0) == [SendProbe()]
+    reads.handle(Sent(probe, is_probe=True), 4.0)
+    assert ReportContact(False) in reads.handle(TimeReached(), 4.0 + RESPONSE_SECONDS)
+    assert ReportContact(True) in reads.handle(Answered(early), 5.0)
+    assert (ReportContact(False) in reads.handle(TimeReached(), 5.0 + again)) is lost
+
+
 @pytest.mark.parametrize("gap", [0.3, 1.0, 3.0])
 def test_change_is_in_force_soon_after_a_series_of_outages(monkeypatch, gap):
     """Each outage of another kind than the one before; a wait must not outlast any of them."""
