--- a/tests/simulated_store.py
+++ b/tests/simulated_store.py
@@ -15,7 +15,7 @@
 
 from coltsfootshift.gateway.table_cache import Table, TableConsumer, TablePosition
 
-STEP_SECONDS = 0.01
+STEP_SECONDS = 0.02
 TRANSIT_SECONDS = 0.002
 ANSWER_SECONDS = 0.002
 PIECE_SECONDS = 0.9
--- a/tests/test_store_outages.py
+++ b/tests/test_store_outages.py
@@ -29,7 +29,7 @@
 
 MAX_RETURN_SECONDS = 2.0
 MEDIAN_RETURN_SECONDS = 1.0
-STEP_SECONDS = 0.01
+STEP_SECONDS = 0.02
 SEEDS = 20
 KINDS = [
     ("silent", 1.0),
