Test of slow bodies: what its earlier form asked of read_body itself

When the row of a large answer moved to the reader, three assertions had no counterpart there: what is read, that a body without end closes its connection after 8 s, and that no timer is left. They are asked of read_body again, beside the rows of the reader.

--- a/tests/test_endless_control_answers.py
+++ b/tests/test_endless_control_answers.py
@@ -17,6 +17,7 @@
 
 import pytest
 from coltsfootshift_platform.store import MAX_ANSWER_BYTES
+from twisted.internet.defer import TimeoutError as DeferredTimeoutError
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
@@ -196,3 +197,27 @@
         assert results[0].check(AnswerTooLongError)
     else:
         assert results == [b"a" * FAST_BYTES]
+
+
+@pytest.mark.parametrize(
+    ("pauses", "is_read"),
+    [([0.9] * 8, True), ([0.9] * 12, False)],
+    ids=["slow", "without end"],
+)
+def test_body_that_arrives_slowly_is_read_within_its_time(pauses, is_read):
+    """A body without end in small pieces; its reader is told of each piece."""
+    clock, response, results, pieces = Clock(), _Response(), [], []
+    body = read_body(response, FAST_BYTES, 8.0, clock, lambda: pieces.append(clock.seconds()))
+    body.addBoth(results.append)
+    for pause in pauses:
+        clock.advance(pause)
+        if not results:
+            response.body.dataReceived(b"a")
+    response.body.connectionLost(Failure(ResponseDone()))
+    assert len(pieces) == 8
+    if is_read:
+        assert results == [b"a" * len(pauses)]
+    else:
+        assert results[0].check(DeferredTimeoutError)
+        assert response.body.transport.disconnecting
+    assert not clock.getDelayedCalls()
