--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -95,8 +95,9 @@
     example compressed. `framed` is set if the body has a length or chunks, so that its end does not
     depend on that of the connection. `rate_limit` is how many requests a second the endpoint takes
     from all entries together, None if it names no limit. `leaving` is set if the endpoint states
-    that it leaves. `retry_after` is for how many seconds the endpoint wants no request, and
-    `keep_alive` is in seconds too; both are None if the endpoint sent none.
+    that it leaves. `retry_after` is for how many seconds the endpoint wants no request, `cold_for`
+    for how many it stays cold, and `keep_alive` is in seconds too; each is None if the endpoint
+    sent none.
     """
 
     status: int
@@ -112,6 +113,7 @@
     keep_alive: float | None
     version: int | None
     forwarded_headers: Headers
+    cold_for: float | None = None
 
     @property
     def succeeded(self) -> bool:
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from collections.abc import Mapping
 from math import inf, isfinite
 from typing import Any, Protocol
 
@@ -72,6 +73,7 @@
         dialect: Dialect,
         callers: Address,
         bounds: GatewayBounds,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         row = make_entry_row(
@@ -90,6 +92,7 @@
             self.metrics,
             self.rng,
             self.beliefs,
+            regions,
         )
         self.gateway.notify_peers = self.fleet.notify_peers
         self._started_at = reactor.seconds()
--- a/src/coltsfootshift/gateway/model.py
+++ b/src/coltsfootshift/gateway/model.py
@@ -45,7 +45,8 @@
 
     Times are in seconds: `timeout` bounds the whole request, `latency_objective` is the latency
     target and `gap_objective` the target for the longest gap between the events of a stream.
-    `attempts` is the most times that a request may run. `priority` 0 is the most urgent.
+    `attempts` is the most times that a request may run. `priority` 0 is the most urgent. `homes`
+    are the regions in which its requests may be served, all of them if it is empty.
     """
 
     name: str
@@ -60,6 +61,7 @@
     anonymous: bool = False
     resumable: bool = False
     gap_objective: float = 0.0
+    homes: frozenset[str] = frozenset()
 
     @property
     def retryable(self) -> bool:
@@ -94,7 +96,9 @@
 class ServiceSpec:
     """A plain service, a service of model engines (`engine` set) or the origin of weights.
 
-    `origin_mbps` is the bandwidth of the origin in Mbit/s, zero if it is not known.
+    `origin_mbps` is the bandwidth of the origin in Mbit/s, zero if it is not known. An endpoint is
+    cold for `cold_seconds` after its start, and takes `cold_rate` requests a second from all
+    entries together while it is cold; a rate of zero stands for no such limit.
     """
 
     name: ServiceName
@@ -102,14 +106,20 @@
     engine: EngineSpec | None = None
     origin: Address | None = None
     origin_mbps: float = 0.0
+    cold_seconds: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
 class Team:
-    """A team and its priority; None if the priority of the route applies."""
+    """A team and its priority; None if the priority of the route applies.
+
+    `homes` are the regions in which its requests may be served, all of them if it is empty.
+    """
 
     name: TeamName
     priority: int | None = None
+    homes: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -197,7 +207,8 @@
 
     `versions` maps each completely loaded model to its version; it is empty for a plain service.
     `born` is the start time in Unix milliseconds, 0 if unknown. `loading` is set while an engine
-    loads weights, which means that it will serve again within moments.
+    loads weights, which means that it will serve again within moments. `cold_for` is for how many
+    seconds the endpoint was still cold when it wrote the record.
     """
 
     endpoint: InstanceId
@@ -209,6 +220,7 @@
     born: int = 0
     versions: Mapping[str, int] = field(default_factory=dict)
     loading: bool = False
+    cold_for: float = 0.0
 
     @property
     def incarnation(self) -> str:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from math import isfinite
@@ -87,8 +87,10 @@
     """Limits set by the deployment, in seconds.
 
     The exceptions are `budget_ratio`, the share of requests that may be retried, and
-    `budget_allowance`, the number of retries allowed beyond it. The other limits do not apply to
-    a process that has been up for less than `contact_within`.
+    `budget_allowance`, the number of retries allowed beyond it. In any one second a cold endpoint
+    may get `cold_excess` times the rate of its service, and `cold_allowance` requests more; this
+    binds a process from its start. The other limits do not apply to one that has been up for less
+    than `contact_within`.
     """
 
     contact_within: float
@@ -98,6 +100,8 @@
     budget_allowance: float
     budget_window: float
     config_within: float
+    cold_excess: float = 1.0
+    cold_allowance: float = 0.0
 
 
 @dataclass(slots=True)
@@ -113,7 +117,8 @@
 class Gateway(RequestHandler, ExchangeOwner):
     """Routes callers' requests to endpoints and returns the responses.
 
-    `notify_peers` is called with messages for the other processes.
+    `notify_peers` is called with messages for the other processes. `regions` maps each failure
+    domain to its region.
     """
 
     def __init__(
@@ -127,8 +132,10 @@
         metrics: Metrics,
         rng: Random,
         beliefs: SharedBeliefs | None = None,
+        regions: Mapping[str, str] | None = None,
     ) -> None:
         self.reactor = reactor
+        self._regions = dict(regions or {})
         self.tables = tables
         self.metrics = metrics
         self.held_bytes = HeldBytes()
@@ -530,9 +537,13 @@
         self._pools[name].max_open = max(1, share)
         return state
 
+    def _list_usable(self, exchange: Exchange) -> list[EndpointState]:
+        """Return the endpoints of a request's service that it may be sent to."""
+        return self._by_service.get(exchange.service.name, [])
+
     def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the endpoints that may serve a request and can end it before this entry stops."""
-        states = self._by_service.get(exchange.service.name, [])
+        states = self._list_usable(exchange)
         if self._stop_schedule is not None:
             states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         if exchange.service.engine is None:
@@ -572,7 +583,7 @@
         wanted = self.tables.wanted_versions.get(exchange.admission.head.model, [])
         if exchange.version is not None and wanted and wanted[-1].version > exchange.version:
             return []
-        states = self._by_service.get(exchange.service.name, [])
+        states = self._list_usable(exchange)
         if self._stop_schedule is not None:
             states = self._list_ending_in_time(states, exchange, self._stop_schedule, now)
         return [state for state in states if state.record.loading]
@@ -873,7 +884,7 @@
         for exchange in list(self._exchanges):
             if exchange.queue_entry is None:
                 continue
-            states = self._by_service.get(exchange.service.name, [])
+            states = self._list_usable(exchange)
             durations = (_predict_duration(exchange, state, now) for state in states)
             if not any(schedule.allows_start(duration, now) for duration in durations):
                 exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -16,7 +16,7 @@
 )
 from coltsfootshift.gateway.item_values import ValueHistory
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
-from coltsfootshift.ids import InstanceId
+from coltsfootshift.ids import FailureDomain, InstanceId
 from coltsfootshift.logs import get_logger
 from coltsfootshift.settings import Address
 
@@ -228,6 +228,10 @@
     def read_version(self, item: Item) -> tuple[str, int] | None:
         """Return the model and version published in an item of the operator table."""
 
+    def read_evacuation(self, item: Item) -> FailureDomain | None:
+        """Return the failure domain that an item of the operator table evacuates."""
+        return None
+
     @abstractmethod
     def read_endpoint(self, item: Item) -> EndpointRecord | None:
         """Return the record in an item of the endpoint table."""
