--- a/src/coltsfootshift/gateway/checks.py
+++ b/src/coltsfootshift/gateway/checks.py
@@ -200,6 +200,7 @@
         assert admission.service is not None
         service = admission.service.name
         admission.suspects = list_suspects(service, admission.head, admission.body)
+        admission.body = b""  # the incoming request holds it until its memory is released
         self._evidence.record_request(service, admission.suspects)
         if self._evidence.find_standing(admission.suspects, now) is not Standing.QUARANTINED:
             return None
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -425,9 +425,9 @@
     def send_on(self, connection: EndpointConnection) -> None:
         """Send the request on a connection."""
         self.connection = connection
-        connection.send(
-            self.method, self.target, self.headers, self.body, self.request, self.receiver
-        )
+        # Requests that have ended stay in memory until the next run of the garbage collector.
+        body, self.body = self.body, b""
+        connection.send(self.method, self.target, self.headers, body, self.request, self.receiver)
 
     def cancel(self) -> None:
         """Cancel the request by aborting its connection or the dialling; idempotent."""
