Homes: place, wait, retry and resume in them alone; the directory lists them

Routes and teams may name the regions that may serve them; nothing read these names. The candidates of a request are now its homes by the catalogue in force, a full home holds up no request with a place elsewhere, and the directory answers by the caller's host.

--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -16,6 +16,7 @@
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
 from coltsfootshift.gateway.fleet import make_entry_row
+from coltsfootshift.gateway.homes import find_listed_regions
 from coltsfootshift.gateway.nodes import (
     DRAIN_CHECK_INTERVAL_SECONDS,
     MILLISECONDS_PER_SECOND,
@@ -107,9 +108,10 @@
         """Whether the directory may list this entry to callers."""
         return self.tables.complete and self.stop_schedule is None
 
-    def list_caller_addresses(self, domain: str, region: str) -> list[Address]:
-        """Return the addresses of entries for callers in a failure domain and region."""
-        return self.roster.list_caller_addresses(domain, region, self.rng)
+    def list_caller_addresses(self, domain: str, region: str, host: str = "") -> list[Address]:
+        """Return the addresses of entries for a host's callers in a failure domain and region."""
+        listed = find_listed_regions(self.tables.catalogue, host, region)
+        return self.roster.list_caller_addresses(domain, region, self.rng, listed)
 
     def choose_start(self, table: Table) -> TablePosition | None:
         """Return the cached position, or None if other entries keep the table up to date.
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -11,6 +11,7 @@
 from coltsfootshift.gateway.checks import Admission
 from coltsfootshift.gateway.events import EventStreamBuffer
 from coltsfootshift.gateway.holding import HeldBody, HeldBytes
+from coltsfootshift.gateway.homes import RequestHomes
 from coltsfootshift.gateway.links import ResponseReceiver
 from coltsfootshift.gateway.model import Route, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, WorkSize
@@ -176,6 +177,7 @@
         self.service: ServiceSpec = admission.service
         self.size = _measure_size(admission, self.service)
         self.request = admission.head.request
+        self.homes = RequestHomes(admission)
         self.tried: set[InstanceId] = set()
         self.possible_runs = 0
         self.arrivals = 0
@@ -332,6 +334,14 @@
         self._cancel_attempt()
         self._retry(attempt, f"version {version} may answer no more")
 
+    def withdraw_unsent(self, reason: str) -> None:
+        """Cancel an attempt that has not left this process, and try elsewhere."""
+        attempt = self._attempt
+        if attempt is None or self.sent:
+            return
+        self._cancel_attempt()
+        self._retry(attempt, reason)
+
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
         now = self._owner.reactor.seconds()
--- a/src/coltsfootshift/gateway/model.py
+++ b/src/coltsfootshift/gateway/model.py
@@ -137,12 +137,14 @@
     """Which parts of a catalogue could not be read, so that what they allow is not known.
 
     `prefixes` maps a host to the path prefixes of its unreadable routes. `routes` is set if there
-    is a route whose host or prefix is not known either, and `teams` if a team could not be read.
+    is a route whose host or prefix is not known either, and `teams` if a team could not be read;
+    `homes` if any of these may have homes.
     """
 
     prefixes: Mapping[str, tuple[str, ...]] = field(default_factory=dict)
     routes: bool = False
     teams: bool = False
+    homes: bool = False
 
     def may_hide_route(self, host: str, path: str, route: Route | None) -> bool:
         """Return whether an unreadable route may apply to a request instead of `route`.
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -8,6 +8,7 @@
 from random import Random
 
 from coltsfootshift.controllers.rings import rank_by_hash
+from coltsfootshift.gateway.homes import ANYWHERE, Homes
 from coltsfootshift.ids import InstanceId
 from coltsfootshift.messages import EntryRow
 from coltsfootshift.settings import Address
@@ -137,13 +138,18 @@
             is_first_of_region=own in first,
         )
 
-    def list_caller_addresses(self, domain: str, region: str, rng: Random) -> list[Address]:
+    def list_caller_addresses(
+        self, domain: str, region: str, rng: Random, listed: Homes = ANYWHERE
+    ) -> list[Address]:
         """Return the addresses for callers in a failure domain and region, nearest entries first.
 
         Only ready entries are listed. If there are none, entries that are not ready yet are listed
-        instead, because a caller that receives no addresses keeps its previous list.
+        instead, because a caller that receives no addresses keeps its previous list. Entries in
+        other regions than the `listed` ones are listed only if none of these is ready: what they
+        get from a caller they send to homes alone.
         """
         rows = [row for row in self.list_rows() if row.ready and not row.leaving]
+        rows = [row for row in rows if listed.allow(row.region)] or rows
         if not rows:
             rows = [row for row in self.list_rows() if not row.leaving]
         rng.shuffle(rows)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -38,6 +38,7 @@
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes
+from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
@@ -135,9 +136,9 @@
         regions: Mapping[str, str] | None = None,
     ) -> None:
         self.reactor = reactor
-        self._regions = dict(regions or {})
         self.tables = tables
         self.metrics = metrics
+        self._homes = HomeRules(tables, metrics, regions or {}, domain, bounds.config_within)
         self.held_bytes = HeldBytes()
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
@@ -330,7 +331,8 @@
         if not states and self._find_turn(exchange) is Turn.INTERRUPTED:
             states = self._list_loading(exchange, now)
         if not states:
-            return _log_no_retry(exchange, "no endpoint can serve it")
+            reason = self._homes.explain(exchange.homes, "no endpoint can serve it", now)
+            return _log_no_retry(exchange, reason)
         if self._is_unreachable(exchange, states, now):
             return _log_no_retry(exchange, "no endpoint has been reached in time")
         # A request that has reached no endpoint is not sent again, but for the first time.
@@ -539,7 +541,8 @@
 
     def _list_usable(self, exchange: Exchange) -> list[EndpointState]:
         """Return the endpoints of a request's service that it may be sent to."""
-        return self._by_service.get(exchange.service.name, [])
+        states = self._by_service.get(exchange.service.name, [])
+        return self._homes.select(states, exchange.homes, self.reactor.seconds())
 
     def _list_candidates(self, exchange: Exchange, now: float) -> list[EndpointState]:
         """Return the endpoints that may serve a request and can end it before this entry stops."""
@@ -740,7 +743,8 @@
         if not states:
             left = admission.expires_at - now
             retry_after = draw_retry_after(left, float("inf"), self._rng)
-            exchange.refuse(NotRun("no endpoint serves the request", retry_after=retry_after))
+            reason = self._homes.explain(exchange.homes, "no endpoint serves the request", now)
+            exchange.refuse(NotRun(reason, retry_after=retry_after))
             return
         queued = QueuedRequest(
             exchange,
@@ -750,7 +754,8 @@
             self._find_turn(exchange),
             spent_at,
         )
-        refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now)
+        weigh = self._homes.weigh_others(self._by_service, queued, now)
+        refusal = queue.offer(queued, forecast_slots(states, self._entry_count, now), now, weigh)
         if refusal is not None:
             exchange.refuse(refusal)
             return
@@ -830,6 +835,7 @@
         # meanwhile, so that all endpoints would seem to have been silent. It also finds connections
         # open then, on which nothing may be sent that is to be withdrawn.
         self._withdraw_outdated(now, only_unsent=True)
+        self._follow_homes(now)
         self.reactor.callLater(0, self._check_requests)
 
     def _check_requests(self) -> None:
@@ -844,6 +850,7 @@
         if self._stop_schedule is not None:
             self._refuse_outlasting(self._stop_schedule, now)
         self._end_without_version(now)
+        self._follow_homes(now)
         for exchange in list(self._exchanges):
             exchange.guard(exchange.check_stall, now)
         self._withdraw_outdated(now)
@@ -900,6 +907,15 @@
                 reason = f"no endpoint of version {exchange.version} is left"
                 exchange.refuse(NotRun(reason, retry_after=0.0))
 
+    def _follow_homes(self, now: float) -> None:
+        """Refuse what waits for homes that have gone, and withdraw what has not left for them."""
+        for exchange in self._homes.list_homeless(self._exchanges, self._by_service):
+            refusal = NotRun(HOMELESS_REASON, retry_after=self.draw_retry_after(exchange))
+            self.metrics.count("refused_without_home")
+            exchange.guard(exchange.refuse, refusal)
+        for exchange in self._homes.list_unsent_abroad(self._exchanges, now):
+            exchange.guard(exchange.withdraw_unsent, "its endpoint is no home any more")
+
     def _dispatch_all_queues(self) -> None:
         for name in self._queues:
             self._dispatch_queue(name)
@@ -907,20 +923,22 @@
     def _dispatch_queue(self, name: ServiceName, last: Turn = Turn.LATE) -> None:
         """Send queued requests while endpoints have free slots, up to the turn `last`.
 
-        An interrupted request that avoids endpoints, or needs a version, holds up no others.
+        An interrupted request that avoids endpoints, or needs a version, holds up no others. One
+        whose homes are full holds up only those that have no other homes.
         """
         queue = self._queues.get(name)
         if queue is None:
             return
         now = self.reactor.seconds()
         passed = None
-        while (queued := queue.peek(passed)) is not None and queued.turn <= last:
+        full = FullHomes(self._homes, now)
+        while (queued := queue.peek(passed, full.accept)) is not None and queued.turn <= last:
             if queued.item.guard(self._place, queued.item, now):
                 queued.open = False
                 queued.item.queue_entry = None
                 if queued.spent_at is not None:
                     self._budget.postpone(name, queued.spent_at, now)
-            elif queued.turn is Turn.INTERRUPTED and self._has_place(name, now):
+            elif full.pass_over(queued) and self._has_place(name, now):
                 passed = queued
             else:
                 return
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -80,7 +80,7 @@
     def __repr__(self) -> str:
         return f"SlotForecast({self._rates!r})"
 
-    def find_wait(self, count: int) -> float:
+    def find_wait(self, count: float) -> float:
         """Return the expected seconds until `count` slots have come free."""
         since = rate = freed = 0.0
         for delay, added in self._rates:
@@ -109,12 +109,21 @@
     def __len__(self) -> int:
         return sum(1 for row in self._heap if row[-1].open)
 
-    def offer(self, request: QueuedRequest, slots: SlotForecast, now: float) -> NotRun | None:
-        """Queue a request, or return why it is refused."""
-        ahead = self._count_ahead(request)
+    def offer(
+        self,
+        request: QueuedRequest,
+        slots: SlotForecast,
+        now: float,
+        weigh: Callable[[QueuedRequest], float] | None = None,
+    ) -> NotRun | None:
+        """Queue a request, or return why it is refused.
+
+        `weigh` returns for how many requests each one ahead counts; all count for one without it.
+        """
+        ahead = self._count_ahead(request, weigh)
         wait = slots.find_wait(ahead + 1)
         if now + wait > request.latest:
-            reason = f"no place in time: {ahead} ahead, a place in {wait:.3f} s"
+            reason = f"no place in time: {ahead:g} ahead, a place in {wait:.3f} s"
             expected_wait = slots.find_wait(len(self._heap))
             return self._make_refusal(reason, request, expected_wait, now)
         self._sequence += 1
@@ -143,22 +152,30 @@
         heapq.heapify(kept)
         self._heap = kept
 
-    def peek(self, after: QueuedRequest | None = None) -> QueuedRequest | None:
-        """Return the next request, or the next one `after` another; None if there is none."""
+    def peek(
+        self,
+        after: QueuedRequest | None = None,
+        accept: Callable[[QueuedRequest], bool] | None = None,
+    ) -> QueuedRequest | None:
+        """Return the next request, or the next one `after` another that `accept` takes, or None."""
         while self._heap and not self._heap[0][-1].open:
             heapq.heappop(self._heap)
         if after is None:
             return self._heap[0][-1] if self._heap else None
         passed = (after.key, after.sequence)
         rows = [row for row in self._heap if row[-1].open and row[:2] > passed]
+        rows = rows if accept is None else [row for row in rows if accept(row[-1])]
         return min(rows)[-1] if rows else None
 
     def pop(self) -> None:
         """Remove the next request."""
         heapq.heappop(self._heap)[-1].open = False
 
-    def _count_ahead(self, request: QueuedRequest) -> int:
-        return sum(1 for row in self._heap if row[-1].open and row[0] <= request.key)
+    def _count_ahead(
+        self, request: QueuedRequest, weigh: Callable[[QueuedRequest], float] | None
+    ) -> float:
+        ahead = [row[-1] for row in self._heap if row[-1].open and row[0] <= request.key]
+        return len(ahead) if weigh is None else sum(weigh(queued) for queued in ahead)
 
     def _make_refusal(
         self, reason: str, request: QueuedRequest, expected_wait: float, now: float
--- a/tests/gateway_harness.py
+++ b/tests/gateway_harness.py
@@ -158,7 +158,7 @@
 
     There are `endpoints` plain services `e-0`, `e-1`, ... and `engines` model engines `m-0`,
     `m-1`, ..., which serve version 1 of model `m`. Without `confirmed`, the gateway has heard
-    nothing of the store yet. Its failure domain is `a`.
+    nothing of the store yet. Its failure domain is `a`; `regions` tells the region of each domain.
     """
 
     def __init__(
@@ -170,6 +170,7 @@
         clock=None,
         decoder=None,
         confirmed=True,
+        regions=None,
     ):
         self.clock = clock or MemoryReactorClock()
         self.tables = TableCache(decoder or NullDecoder())
@@ -199,6 +200,7 @@
             BOUNDS,
             Metrics(),
             Random(seed),
+            regions=regions,
         )
         # The start-up grace is over: the entry knows all others and may use the allowance.
         self.gateway._budget = RetryBudget(*RETRY_BUDGET, started_at=-STARTUP_GRACE_SECONDS)
