--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import json
+from random import Random
+from unittest.mock import Mock
 
 import msgpack
 import pytest
@@ -12,14 +14,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from odd_values import DEEP, ENTRIES, HUGE, PARTS, REPORTS, make_entry, write_entry
-from platform_standins import make_config
+from platform_standins import KEY, make_config
 from twisted.internet.task import Clock
 
+from coltsfootshift.gateway.checks import Admission, KeyCheck, RouteCheck
 from coltsfootshift.gateway.engines import PortError
+from coltsfootshift.gateway.homes import NOWHERE, find_homes
+from coltsfootshift.gateway.model import Route, RouteKind
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer, TableCache
+from coltsfootshift.outcomes import NotRun
 from coltsfootshift.settings import Address
 
 ORIGIN = "10.0.0.2:90"
+ODD_HOMES = ("north", 5, True, {"north": 1}, [5], [None], [""], ["nor\r\nth"], [["north"]])
 
 # Any JSON, and any bytes.
 numbers = st.integers() | st.floats(allow_nan=False, allow_infinity=False)
@@ -101,6 +108,7 @@
         ({"attempts": -1}, 0),
         ({"slo_ms": None}, 1),
         ({"odd": {"a": [1]}}, 1),
+        *(({"allowed_regions": value}, 0) for value in ODD_HOMES),
     ],
     ids=lambda value: str(value)[:40],
 )
@@ -113,6 +121,50 @@
     assert sum(len(routes) for routes in catalogue.routes.values()) == left
 
 
+@pytest.mark.parametrize(
+    ("fields", "homes"),
+    [
+        ({}, []),
+        ({"allowed_regions": None}, []),
+        ({"allowed_regions": []}, []),
+        ({"allowed_regions": ["north"]}, ["north"]),
+        ({"allowed_regions": ["north", "south", "north"]}, ["north", "south"]),
+    ],
+    ids=str,
+)
+def test_homes_of_routes_and_teams_are_read(fields, homes):
+    config = make_config(7, ORIGIN)
+    config["routes"][0].update(fields)
+    config["tenants"][0].update(fields)
+    catalogue = StoreItemDecoder().read_catalogue(make_item("op/config", config))
+    assert catalogue is not None and not catalogue.unread.homes
+    route = catalogue.find_route("desk.example", "/book/1")
+    assert route is not None and sorted(route.homes) == homes
+    assert [sorted(team.homes) for team in catalogue.teams.values()] == [homes]
+
+
+@pytest.mark.parametrize("value", ODD_HOMES, ids=repr)
+@pytest.mark.parametrize("part", ["routes", "tenants"])
+def test_request_whose_homes_cannot_be_read_is_refused_and_not_sent_abroad(part, value):
+    """Neither is it sent anywhere, nor denied: the operator's next catalogue may allow it."""
+    config = make_config(7, ORIGIN)
+    config[part][0]["allowed_regions"] = value
+    tables = TableCache(StoreItemDecoder())
+    items = (make_item("op/config", config),)
+    tables.apply(TableAnswer(Table.OPERATOR, items, 2, True, 0.0), 0.0)
+    tables.apply(TableAnswer(Table.ENDPOINTS, (), 2, True, 0.0), 0.0)
+    head = Mock(host="desk.example", path="/book/1", key=KEY, deadline=None)
+    admission = Admission(head, 0.0)
+    checks = [RouteCheck(Random(1), 2.0), KeyCheck(5.0, 2.0)]
+    found = [
+        check.find_refusal(admission, tables, 0.1) for check in checks[: 1 + (part != "routes")]
+    ]
+    assert isinstance(found[-1], NotRun) and found[-1].status == 503
+    assert tables.catalogue.unread.homes
+    admission.route = admission.route or Route("r", "", "", RouteKind.IDEMPOTENT, (), 1.0, 1.0)
+    assert find_homes(tables.catalogue, admission) == NOWHERE
+
+
 @pytest.mark.parametrize("keys", [[], None], ids=["empty", "null"])
 def test_team_without_keys_leaves_the_catalogue_in_force(keys):
     config = make_config(7, ORIGIN)
