--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -39,9 +39,8 @@
 class Homes:
     """The regions in which a request may be served.
 
-    `regions` is None if it may be served anywhere, and empty if no region may serve it. An endpoint
-    whose region is not known, which is None, is a home of such a request only as may be served
-    anywhere.
+    `regions` is None if it may be served anywhere, and empty if no region may serve it. A region
+    that is not known is None; it may serve only what may be served anywhere.
 
     >>> Homes(frozenset({"north"})).allow("north"), Homes(frozenset({"north"})).allow(None)
     (True, False)
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -48,14 +48,14 @@
             self.domains[80 + number] = domain
         self.name_homes(**named)
 
-    def name_homes(self, team=(), unread=None, dropped=False, **routes):
+    def name_homes(self, team=(), unread=None, dropped=False, revoked=False, **routes):
         """Let a new catalogue be in force, with homes of its team and of the routes by name."""
         listed = [replace(r, homes=frozenset(routes.get(r.name, ()))) for r in ROUTES]
         self.tables.catalogue = replace(
             self.tables.catalogue,
             version=self.tables.catalogue.version + 1,
             routes={} if dropped else {"host": tuple(listed)},
-            teams={KEY: Team(TeamName("team-1"), homes=frozenset(team))},
+            teams={} if revoked else {KEY: Team(TeamName("team-1"), homes=frozenset(team))},
             unread=unread or UnreadParts(),
         )
         self.gateway.refresh()
@@ -139,6 +139,8 @@
         ({"read": ["north"]}, {"read": ["north"]}, "", False),
         ({"read": ["north"]}, {"dropped": True}, "", False),
         ({"team": ["north"]}, {"team": ["south"]}, "b", False),
+        ({"team": ["north"]}, {"revoked": True}, "", False),
+        ({"team": ["north"]}, {"revoked": True, "read": ["south"]}, "", True),
         ({"team": ["north"]}, {"team": ["south"], "read": ["north"]}, "", True),
         ({"read": ["north"]}, {"read": ["west"]}, "", True),
         ({"read": ["north"]}, {"unread": UnreadParts({"host": ("/read/",)}, homes=True)}, "", True),
@@ -178,6 +180,21 @@
     assert caller.aborted == ("b" not in domains)
 
 
+@pytest.mark.parametrize(("homes", "dialled"), [(["south"], "b"), (["south", "east"], "bc")])
+def test_silent_stream_goes_on_in_a_home_or_nowhere(homes, dialled):
+    harness = HomesHarness("b", talk=homes)
+    harness.send_request("talk")
+    harness.accept().protocol.dataReceived(make_response(chunked=True) + make_chunk(make_event(1)))
+    harness.add_endpoint("e-a", "s", 90, domain="a")
+    harness.add_endpoint("e-c", "s", 91, domain="c")
+    harness.domains.update({90: "a", 91: "c"})
+    harness.gateway.refresh()
+    harness.gateway._exchanges.copy().pop()._deadline_timer.delay(10.0)
+    for _ in range(95):
+        harness.tick()
+    assert harness.dialled == dialled
+
+
 @pytest.mark.parametrize("homes", [["south"], ["west"]], ids=["another", "none"])
 def test_what_has_not_left_is_withdrawn_from_a_former_home(homes):
     """A connection that is being made is no begun request."""
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -107,6 +107,42 @@
     refusing.close()
 
 
+def test_homes_of_the_catalogue_bind_entries_and_the_directory(fleet):
+    """The endpoint is in the north, with one entry; the other entry is in the south."""
+    first = fleet.start_entry("entry-1")
+    second = find_ports(6)
+    seeds = [f"{HOST}:{first[2]}"]
+    settings = make_settings("entry-2", fleet.store.address, second, seeds)
+    settings.update(zone="b", region="south", zones={"a": "north", "b": "south"})
+    fleet.start("entry-2", "entry", settings)
+    wait_for(lambda: is_ready(first) and is_ready(second))
+
+    def resolve(name, region):
+        page = f"/api/resolve?name={name}&region={region}&zone=x"
+        body = json.loads(send_request(second[3], "GET", page)[1])
+        return [int(address.rpartition(":")[2]) for address in body["addresses"]]
+
+    def put(version, homes):
+        config = make_config(version, fleet.origin.address)
+        config["routes"][0]["allowed_regions"] = homes
+        fleet.store.put("op/config", config)
+
+    wait_for(lambda: len(resolve("desk.example", "south")) == 2)
+    assert book(second)[0] == 200
+    put(7, ["south"])
+    wait_for(lambda: book(second)[0] == 503, MAX_CONFIG_DELAY_SECONDS)
+    count = len(fleet.endpoint.orders)
+    status, _, headers = book(second)
+    assert status == 503 and float(headers["retry-after"]) > 0
+    assert len(fleet.endpoint.orders) == count
+    assert resolve("Desk.Example", "south") == [second[0]]
+    assert sorted(resolve("desk.example", "north")) == sorted([first[0], second[0]])
+    assert len(resolve("other.example", "south")) == 2
+    put(8, ["north"])
+    wait_for(lambda: book(second)[0] == 200, MAX_CONFIG_DELAY_SECONDS)
+    assert resolve("desk.example", "west") == [first[0]]
+
+
 def test_leaving_entry_finishes_its_requests(fleet):
     ports = fleet.start_entry()
     wait_for(lambda: is_ready(ports))
