--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -268,11 +268,15 @@
         return self._select(states, self.find(request, now))
 
     def list_homeless(
-        self, exchanges: Iterable[Exchange], endpoints: Mapping[ServiceName, list[EndpointState]]
+        self,
+        exchanges: Iterable[Exchange],
+        list_usable: Callable[[Exchange], list[EndpointState]],
+        now: float,
     ) -> list[Exchange]:
-        """Return what waits although no endpoint of its service is a home.
+        """Return what waits although no endpoint in its homes may be sent it.
 
-        That the catalogue is outdated refuses nothing that waits: it may be confirmed in moments.
+        What is kept in this region since the catalogue is outdated may wait: the catalogue may be
+        confirmed in moments.
         """
         if not self.are_used():
             return []
@@ -281,7 +285,7 @@
             homes = self.find_known(exchange.homes)
             if exchange.queue_entry is None or homes.anywhere:
                 continue
-            if not self._select(endpoints.get(exchange.service.name, []), homes):
+            if self.find(exchange.homes, now) == homes and not list_usable(exchange):
                 homeless.append(exchange)
         return homeless
 
