Load reports are read field by field; a fourth figure costs none of the others

Endpoints of one deployment send four figures in their load header. The adapter read the header only if it held exactly three, so that entries there knew of no load but their own. Each field is now decoded by itself into EndpointLoadReport: one that is missing, invalid, negative, too large or surplus is None and counted. The estimate of an endpoint's load is renewed only if both the running and the waiting requests are known. Headers of three figures: as before.

--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -79,11 +79,29 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointLoadReport:
-    """The load that an endpoint reports with a response, in requests."""
+    """The load that an endpoint reports with a response; a field is None if it was not readable.
 
-    running: int
-    waiting: int
-    slots: int
+    `running`, `waiting` and `slots` are in requests. `slowdown` is how long work takes on the
+    endpoint's machine at this moment as a multiple of the usual time, so 1.0 is as usual; endpoints
+    need not report it. `unreadable_count` is the number of fields that were missing, had an invalid
+    value or have no meaning.
+
+    >>> EndpointLoadReport(4, 2, 8, slowdown=1.5).total, EndpointLoadReport(None, 2, 8).total
+    (6, None)
+    """
+
+    running: int | None
+    waiting: int | None
+    slots: int | None
+    slowdown: float | None = None
+    unreadable_count: int = 0
+
+    @property
+    def total(self) -> int | None:
+        """The number of requests at the endpoint, None unless both of its parts are known."""
+        if self.running is None or self.waiting is None:
+            return None
+        return self.running + self.waiting
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -64,6 +64,9 @@
     Until `paused_until` the endpoint wants no requests from this entry; unlike the backoff, nothing
     that happens before shortens it.
 
+    `slowdown` is that of the latest load report, None if it told none; placement does not use it.
+    `has_unreadable_reports` is whether a field of the latest load report was not readable.
+
     Failed requests eject the endpoint: it gets no requests for an exponential backoff, and then one
     at a time until a response progresses. All requests that have received nothing since the latest
     ejection began fail by the same event, which counts once. An endpoint that is only suspected to
@@ -78,6 +81,8 @@
         self.failure_rate = 0.0
         self.backoff_until = 0.0
         self.paused_until = 0.0
+        self.slowdown: float | None = None
+        self.has_unreadable_reports = False
         self._suspected_until = -inf
         self._in_flight: dict[RequestId, _InFlightAttempt] = {}
         self._others_load = 0.0
@@ -192,12 +197,19 @@
     def record_response_start(
         self, request: RequestId, report: EndpointLoadReport | None, now: float
     ) -> None:
-        """Record the start of a response and its load report."""
+        """Record the start of a response and its load report.
+
+        A report that does not tell how many requests run and how many wait says nothing of the
+        total: the estimate so far stays, and ages on.
+        """
         attempt = self._in_flight.get(request)
         if attempt is not None:
             attempt.response_started = True
-        if report is not None:
-            total = report.running + report.waiting
+        if report is None:
+            return
+        self.slowdown = report.slowdown
+        total = report.total
+        if total is not None:
             self._others_load = max(0.0, total - len(self._in_flight))
             self._reported_at = now
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -39,6 +39,7 @@
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes
 from coltsfootshift.gateway.links import ConnectionPool
+from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
 from coltsfootshift.gateway.stopping import StopSchedule
@@ -177,6 +178,10 @@
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
         metrics.add_gauge("answer_bytes_held", lambda: float(self.held_bytes.size))
         metrics.add_gauge("exchanges_waiting", self._count_waiting)
+        self._load_reports = LoadReportCounter(metrics)
+        metrics.add_gauge(
+            "endpoint_slowdown_highest", lambda: find_highest_slowdown(self._states.values())
+        )
         metrics.add_gauge(
             "links_dialled", lambda: float(sum(p.dialled for p in self._pools.values()))
         )
@@ -392,6 +397,7 @@
 
     def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
         """Keep requests from an endpoint that leaves, or that wants none for a while."""
+        self._load_reports.record(state, head.load)
         now = self.reactor.seconds()
         name, service = state.record.incarnation, state.record.service
         if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
