Rows of entries carry their age, so that an ended entry does not come back to the directory

Cause: a row that an entry did not hold counted as heard just now, whoever told it. Entries drop an ended one at different times, so that one that still knew it (a process that woke, a stream opened a moment too early) brought it back to all others, who passed it on in turn. A list of rows now tells for how long its sender has not heard from each entry; a row counts from then, and one that is too old is ignored and counted (gauge entry_rows_outdated). A process that stood still tells the true age of what it holds. Lists without ages are read as before.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -18,7 +18,7 @@
     ValueEncoding,
     digest_value,
 )
-from coltsfootshift.gateway.roster import Roster
+from coltsfootshift.gateway.roster import MILLISECONDS_PER_SECOND, Roster
 from coltsfootshift.gateway.table_cache import (
     Item,
     Table,
@@ -151,7 +151,7 @@
         self._behind_since: dict[Table, tuple[TablePosition, float]] = {}
         self._ticked_at = context.reactor.seconds()
         self._ticks = 0
-        self._relayed_rows: dict[str, EntryRow] = {}
+        self._relayed_names: set[str] = set()
         self._loop = LoopingCall(self._tick)
         self._loop.clock = context.reactor
 
@@ -174,11 +174,11 @@
 
     def list_entries(self) -> EntryList:
         """Return the known entries, for a process that has no connection to any."""
-        return EntryList(self._roster.list_rows())
+        return EntryList(self._roster.list_rows())  # without ages: it is for finding any entry
 
     def learn_entries(self, message: EntryList) -> None:
         """Learn of entries from a process that is none."""
-        self._merge_roster(message)
+        self._merge_roster(message.rows, [])
 
     def announce(self) -> None:
         """Send this entry's row and table revisions to all peers now."""
@@ -197,7 +197,7 @@
         assert own is not None
         other_rows = self._roster.list_rows()[1:]
         fallbacks = self._rng.sample(other_rows, min(FALLBACK_ENTRIES, len(other_rows)))
-        to_entries, to_agents = EntryList([own]), EntryList([own, *fallbacks])
+        to_entries, to_agents = EntryList([own]), self._make_list([own, *fallbacks])
         agents = [stream for stream in streams if stream.peer_role == Role.AGENT.value]
         # One message after the other, so that each is encoded once.
         for stream in agents:
@@ -235,7 +235,7 @@
         stream.set_needed(True)
         logger.info("peer connected", extra={"peer": peer})
         if self._roster.own is not None:
-            stream.send(EntryList(self._roster.list_rows()))
+            stream.send(self._make_list(self._roster.list_rows()))
             stream.send(self._make_revision_report())
         for message in self._observer.list_beliefs():
             stream.send(message)
@@ -258,7 +258,7 @@
     def stream_received(self, stream: PeerStream, message: Message) -> None:
         """Dispatch a message received from a peer."""
         if isinstance(message, EntryList):
-            self._merge_roster(message)
+            self._merge_roster(message.rows, _age_relayed(message, stream))
         elif isinstance(message, TableRevisions):
             self._compare_revisions(stream, message)
         elif isinstance(message, TableChangesRequest):
@@ -291,7 +291,7 @@
 
     def _tick(self) -> None:
         now = self._context.reactor.seconds()
-        self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS))
+        self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS), now)
         self._ticked_at = now
         silent = self._roster.remove_silent(now)
         for name in silent:
@@ -349,8 +349,12 @@
             known.pop(_name_address(self._own_address), None)
         return known
 
-    def _merge_roster(self, message: EntryList) -> None:
-        changed = self._roster.merge(message.rows, self._context.reactor.seconds())
+    def _make_list(self, rows: list[EntryRow]) -> EntryList:
+        now = self._context.reactor.seconds()
+        return EntryList(rows, self._roster.measure_ages(rows, now))
+
+    def _merge_roster(self, rows: list[EntryRow], ages_ms: list[int]) -> None:
+        changed = self._roster.merge(rows, self._context.reactor.seconds(), ages_ms)
         if not changed:
             return
         for row in changed:
@@ -370,14 +374,15 @@
         ready. If every entry passed on each change by itself, each would receive as many messages
         as there are pairs of entries.
         """
-        if not self._relayed_rows:
+        if not self._relayed_names:
             self._context.reactor.callLater(RELAY_DELAY_SECONDS, self._relay_rows)
-        for row in rows:
-            self._relayed_rows[row.instance] = row
+        self._relayed_names.update(row.instance for row in rows)
 
     def _relay_rows(self) -> None:
-        rows, self._relayed_rows = list(self._relayed_rows.values()), {}
-        self._broadcast(EntryList(rows))
+        names, self._relayed_names = self._relayed_names, set()
+        rows = [row for row in self._roster.list_rows() if row.instance in names]
+        if rows:
+            self._broadcast(self._make_list(rows))
 
     def _compare_revisions(self, stream: PeerStream, message: TableRevisions) -> None:
         now = self._context.reactor.seconds()
@@ -706,6 +711,16 @@
     return Address(host, int(port))
 
 
+def _age_relayed(message: EntryList, stream: PeerStream) -> list[int]:
+    """Return the ages of a list's rows; what others have said waited as long as the message did."""
+    transit_ms = int(stream.transit_delay * MILLISECONDS_PER_SECOND)
+    ages = []
+    for index, row in enumerate(message.rows):
+        age = message.ages_ms[index] if index < len(message.ages_ms) else 0
+        ages.append(age if row.instance == stream.peer_id else age + max(0, transit_ms))
+    return ages
+
+
 def _add_transit(report: EndpointLimitReport, seconds: float) -> EndpointLimitReport:
     """Return a report whose ages include how long it was on its way."""
     rows = [msgspec.structs.replace(row, age=row.age + seconds) for row in report.rows]
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -126,6 +126,7 @@
                 f"{table.value}_age_seconds", partial(self._measure_gauge_age, table)
             )
         self.metrics.add_gauge("entries_live", lambda: float(roster.count_live()))
+        self.metrics.add_gauge("entry_rows_outdated", lambda: float(roster.outdated_count))
         own = config.peers if listens_for_entries else None
         self.fleet = FleetTask(
             self.context, self.tables, roster, list(config.seeds), own, self, self.rng
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from math import inf
 from random import Random
@@ -15,6 +15,9 @@
 __all__ = ["Roster"]
 
 SILENCE_TIMEOUT_SECONDS = 2.5  # two and a half heartbeat intervals of an entry
+# After this process stood still it reads for this long what arrived meanwhile.
+LATE_READING_SECONDS = 0.5
+MILLISECONDS_PER_SECOND = 1000.0
 READER_COUNT = 4  # one still reads if two are lost at once and the store rejects a third
 # Readers of the operator's table: the second one reads on while it is noticed that the first one
 # does not. A copy of each change of the catalogue is sent to each of them.
@@ -36,40 +39,87 @@
     """The live entries and the time at which a row of each was last received.
 
     An entry is live while its row keeps arriving, directly or through other entries. Rows carry a
-    sequence number, so that an outdated row that is relayed late is ignored.
+    sequence number, so that an outdated row that is relayed late is ignored. A row that is relayed
+    carries the time since the entry itself was last heard, so that it is not taken for a sign of
+    life: an entry that has ended would come back with each process that still knows of it.
+
+    Load pattern: processes freeze and wake, links are cut and heal, and all of them tell each other
+    whom they know while some of those have ended. `outdated_count` is how many rows were ignored
+    because their entries had been silent for too long.
+
+    >>> row = EntryRow("entry-2", 7, "10.0.0.2", 1, 2, "north", "a", True, False)
+    >>> roster = Roster(None)
+    >>> len(roster.merge([row], 10.0, ages_ms=[2600])), len(roster.merge([row], 10.0))
+    (0, 1)
+    >>> roster.measure_ages([row], 11.5)
+    [1500]
     """
 
     def __init__(self, own: EntryRow | None) -> None:
         self.own = own
         self._rows: dict[InstanceId, EntryRow] = {}
         self._last_seen: dict[InstanceId, float] = {}
+        # As `_last_seen`, but not later than the entry can have sent its row; for other processes.
+        self._heard_at: dict[InstanceId, float] = {}
+        self._late_seconds = 0.0
+        self._late_until = 0.0
+        self.outdated_count = 0
         self._changes = 0
         self._roles: tuple[object, _Roles] | None = None
 
     def __repr__(self) -> str:
         return f"Roster({sorted(self._rows)})"
 
-    def merge(self, rows: Iterable[EntryRow], now: float) -> list[EntryRow]:
-        """Merge rows received from a peer; return those that are new or have changed."""
+    def merge(
+        self, rows: Iterable[EntryRow], now: float, ages_ms: Sequence[int] = ()
+    ) -> list[EntryRow]:
+        """Merge rows received from a peer; return those that are new or have changed.
+
+        `ages_ms` are for how long the peer has not heard from each entry; a missing one is zero.
+        """
         changed = []
-        for row in rows:
+        late_seconds = self._late_seconds if now < self._late_until else 0.0
+        for index, row in enumerate(rows):
             name = InstanceId(row.instance)
             if self.own is not None and name == self.own.instance:
                 continue
             current = self._rows.get(name)
             if current is not None and row.sequence <= current.sequence:
                 continue
+            age = ages_ms[index] / MILLISECONDS_PER_SECOND if index < len(ages_ms) else 0.0
+            if current is None and age > SILENCE_TIMEOUT_SECONDS:
+                self.outdated_count += 1
+                continue
             self._rows[name] = row
-            self._last_seen[name] = now
+            heard_at = now - age
+            self._last_seen[name] = max(heard_at, self._last_seen.get(name, heard_at))
+            heard_at -= late_seconds
+            self._heard_at[name] = max(heard_at, self._heard_at.get(name, heard_at))
             if current is None or _get_announced_fields(current) != _get_announced_fields(row):
                 changed.append(row)
         self._changes += len(changed)
         return changed
 
-    def extend(self, seconds: float) -> None:
-        """Allow all entries so much more time, for which this process did not read their rows."""
+    def extend(self, seconds: float, now: float) -> None:
+        """Allow all entries so much more time, for which this process did not read their rows.
+
+        The rows that it reads next may have waited for that long, which other processes are told.
+        """
         for name in self._last_seen:
             self._last_seen[name] += seconds
+        if now >= self._late_until:
+            self._late_seconds = 0.0
+        if seconds > self._late_seconds:
+            self._late_seconds = seconds
+            self._late_until = now + LATE_READING_SECONDS
+
+    def measure_ages(self, rows: Iterable[EntryRow], now: float) -> list[int]:
+        """Return for how many milliseconds the entries of these rows have not been heard."""
+        ages = []
+        for row in rows:
+            age = max(0.0, now - self._heard_at.get(InstanceId(row.instance), now))
+            ages.append(int(age * MILLISECONDS_PER_SECOND))
+        return ages
 
     def remove_silent(self, now: float) -> list[InstanceId]:
         """Remove the entries that have been silent for too long; return their names."""
@@ -77,6 +127,7 @@
         for name in silent:
             del self._rows[name]
             del self._last_seen[name]
+            del self._heard_at[name]
         self._changes += len(silent)
         return silent
 
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -52,9 +52,14 @@
 
 
 class EntryList(Message, frozen=True, array_like=True, tag="g-roster"):
-    """All entries that the sender knows of, including itself."""
+    """Entries that the sender knows of, including itself.
+
+    `ages_ms` are for how many milliseconds the sender has not heard from the entry of each row; a
+    row without an age is new.
+    """
 
     rows: list[EntryRow]
+    ages_ms: list[WholeNumber] = []
 
 
 class OperatorVersion(msgspec.Struct, frozen=True, array_like=True):
