What slow callers and endpoints leave unread is counted, and a response cut for it never looks complete

Causes and changes: complete answers that waited for their callers were counted nowhere, a hundred of 0.9 MiB held 90 MB; they count now in the sum of held answers, measured while more than 16 KiB wait, as do events written to a blocked caller. The limit of that sum is lower on machines with less than 420 MB, and over it a caller that leaves 16 KiB unread gets no further answer. An endpoint that answered before it had taken the whole body kept its connection with the rest of the body in memory; it is dropped. A response without length that its endpoint closed after it was left unread for a second was taken as complete, and a cut of any unread response ejected its endpoint and suspected the request of ending it; now it is resumed or reset, and held against nobody (answers_cut_unread).

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -20,7 +20,9 @@
 
 from coltsfootshift.gateway.body_budget import BodyBudget, compute_max_bytes
 from coltsfootshift.gateway.calls import Headers
+from coltsfootshift.gateway.holding import MIN_BODY_BYTES, HeldBytes
 from coltsfootshift.gateway.model import CallerLimits
+from coltsfootshift.gateway.unsent import UnsentAnswers, count_unsent
 from coltsfootshift.logs import get_logger
 
 __all__ = [
@@ -186,7 +188,12 @@
 
 
 class RequestHandler(ABC):
-    """Handles the requests that callers' connections have read."""
+    """Handles the requests that callers' connections have read.
+
+    `held_bytes` counts what this process holds of answers.
+    """
+
+    held_bytes: HeldBytes
 
     @property
     @abstractmethod
@@ -218,13 +225,18 @@
     transport: Any
 
     def __init__(
-        self, handler: RequestHandler, reactor: Any, bodies: BodyBudget[CallerConnection]
+        self,
+        handler: RequestHandler,
+        reactor: Any,
+        bodies: BodyBudget[CallerConnection],
+        unsent: UnsentAnswers,
     ) -> None:
         self.open = False
         self.request_count = 0
         self._handler = handler
         self._reactor = reactor
         self._bodies = bodies
+        self._unsent = unsent
         self._awaits_memory = False
         self._header_bytes = handler.limits.header_bytes
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=self._header_bytes)
@@ -250,6 +262,10 @@
             return False
         return self._closing or not self._is_idle()
 
+    def count_unsent(self) -> int:
+        """Return how many bytes of answers wait to be sent."""
+        return count_unsent(self.transport)
+
     def is_handling(self, request: IncomingRequest) -> bool:
         """Return whether the response to a request is not complete yet."""
         return self._request is request
@@ -280,6 +296,7 @@
         self._cancel_timeout()
         self._cancel_continuation()
         self._release_body()
+        self._unsent.release(self)
         self._record_loss(reason)
         request, self._request = self._request, None
         if request is not None and not request.finished and request.on_disconnect is not None:
@@ -324,6 +341,7 @@
         self._release_body()
         if not self.open:
             return
+        self._unsent.update(self)
         if self._http.our_state is not h11.DONE or self._http.their_state is not h11.DONE:
             self._close_when_sent()
             return
@@ -395,7 +413,7 @@
         if self._end_recorded:
             return
         self._end_recorded = True
-        unsent_bytes = _count_unsent(self.transport)
+        unsent_bytes = count_unsent(self.transport)
         request = self._request
         if request is None and unsent_bytes:
             request = self._latest
@@ -516,7 +534,8 @@
             if self._head is None and self.request_count - first >= MAX_REQUESTS_PER_TURN:
                 self._continue_later(0.0)
                 return
-            if self._head is None and _count_unsent(self.transport) > MAX_UNSENT_BYTES:
+            most_unsent = MIN_BODY_BYTES if self._unsent.full else MAX_UNSENT_BYTES
+            if self._head is None and self.count_unsent() > most_unsent:
                 self._continue_later(UNSENT_CHECK_SECONDS)
                 return
             try:
@@ -684,11 +703,6 @@
     return length
 
 
-def _count_unsent(transport: Any) -> int:
-    """Return how many bytes wait in the buffers of a transport, which keeps them once closed."""
-    return len(transport.dataBuffer) - transport.offset + transport._tempDataLen
-
-
 def _count_unacknowledged(transport: Any) -> int:
     """Return how many bytes in the buffer of the socket the other end has not acknowledged."""
     data = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, struct.pack("i", 0))
@@ -697,7 +711,7 @@
 
 def _count_unreceived(transport: Any) -> int:
     """Return how many bytes that were written to a transport the other end has not acknowledged."""
-    return _count_unsent(transport) + _count_unacknowledged(transport)
+    return count_unsent(transport) + _count_unacknowledged(transport)
 
 
 class CallerFactory(Factory):
@@ -710,11 +724,12 @@
         self._reactor = reactor
         self._connections: set[CallerConnection] = set()
         self._bodies: BodyBudget[CallerConnection] = BodyBudget(compute_max_bytes())
+        self._unsent = UnsentAnswers(handler.held_bytes, reactor)
 
     def buildProtocol(self, addr: Any) -> CallerConnection:
         """Create the protocol of an accepted connection."""
         self._connections = {item for item in self._connections if item.open or not item.connected}
-        connection = CallerConnection(self._handler, self._reactor, self._bodies)
+        connection = CallerConnection(self._handler, self._reactor, self._bodies, self._unsent)
         self._connections.add(connection)
         return connection
 
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -29,6 +29,8 @@
 # An engine that ends under a request does so within two scheduler passes, of up to 0.1 s each.
 SURVIVAL_SECONDS = 0.5
 SURVIVAL_EVENTS = 4
+# Endpoints cut off a response that remains unread for some seconds.
+UNREAD_SECONDS = 1.0
 STATUS_MISDIRECTED = 421
 # Callers rely on these statuses as a guarantee that the request has not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
@@ -86,6 +88,10 @@
         `begun` is set if the endpoint may have ended because it had just begun the request.
         """
 
+    @abstractmethod
+    def record_unread_cut(self) -> None:
+        """Record that an endpoint has ended a response that its slow caller left unread."""
+
     @abstractmethod
     def record_survival(self, exchange: Exchange, begun_at: float) -> None:
         """Record that an endpoint runs on after it began a request at `begun_at`, in seconds."""
@@ -105,7 +111,8 @@
     A stream progresses with its head and with each complete event that carries something new, a
     plain response with all bytes. An attempt without a response is taken to progress until the
     response is expected. `unproductive_since` is when the first bytes arrived that have brought no
-    progress so far.
+    progress so far. `unread_seconds` is for how long the response was once left unread, since its
+    caller was slow.
     """
 
     def __init__(self, exchange: Exchange, state: EndpointState) -> None:
@@ -122,6 +129,7 @@
         self.body_started = False
         self.sent_at = 0.0
         self.predicted_seconds = 0.0
+        self.unread_seconds = 0.0
         self._exchange = exchange
 
     def has_survived(self, now: float) -> bool:
@@ -191,6 +199,7 @@
         # The head of a complete failure, whose body is held back until the retry is sent.
         self._failure: ResponseHead | None = None
         self._blocked = False
+        self._blocked_at = 0.0
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
@@ -383,6 +392,8 @@
                 self._record_survival(attempt)
             if events:
                 self.incoming.write(events)
+                if self._blocked:
+                    self._held.keep_unsent(len(events))
             if self._event_buffer.overlong:
                 self._fail_attempt(attempt, "an event without end", attempt.last_received_at)
             return
@@ -402,6 +413,9 @@
         assert head is not None
         if head.not_run or head.status == STATUS_MISDIRECTED:
             return
+        if not head.framed and self._was_left_unread(attempt):
+            self._handle_unread_cut(attempt, "the connection ended")
+            return
         if self._lacks_body(attempt, head):
             self._record_loss(attempt)
             self._fail_attempt(attempt, "the connection ended after the head", now)
@@ -434,6 +448,9 @@
     def handle_failure(self, attempt: _Attempt, reason: str, sent: bool) -> None:
         """Handle an attempt without a complete response."""
         now = self._owner.reactor.seconds()
+        if self._was_left_unread(attempt):
+            self._handle_unread_cut(attempt, reason)
+            return
         if sent:
             self._record_loss(attempt)
         else:
@@ -441,6 +458,24 @@
         attempt.state.record_unreachable(self.request, attempt.last_received_at, now)
         self._retry(attempt, reason)
 
+    def _was_left_unread(self, attempt: _Attempt) -> bool:
+        """Return whether the endpoint may have cut off the response since its caller was slow."""
+        unread = attempt.unread_seconds
+        if self._blocked:
+            since = max(self._blocked_at, attempt.sent_at)
+            unread = max(unread, self._owner.reactor.seconds() - since)
+        return unread >= UNREAD_SECONDS
+
+    def _handle_unread_cut(self, attempt: _Attempt, reason: str) -> None:
+        """Handle a response that ended after it was left unread; it may not be complete.
+
+        Even a connection that was closed cleanly shows no end then: the endpoint may have dropped
+        what its socket did not take. It says nothing of the endpoint's health.
+        """
+        attempt.state.record_cancelled(self.request)
+        self._owner.record_unread_cut()
+        self._retry(attempt, f"{reason} after the caller left the response unread")
+
     def withdraw(self, outcome: NotRun) -> None:
         """End the exchange unless its response has begun, whose outcome is awaited."""
         attempt = self._attempt
@@ -632,15 +667,22 @@
 
     def _on_caller_blocked(self) -> None:
         """Let the rest of the response wait at the endpoint while the caller is slow."""
+        if not self._blocked:
+            self._blocked_at = self._owner.reactor.seconds()
         self._blocked = True
         if self._outbound is not None:
             self._outbound.pause()
 
     def _on_caller_unblocked(self) -> None:
+        now = self._owner.reactor.seconds()
+        attempt = self._attempt
+        if attempt is not None:
+            if self._blocked:
+                unread = now - max(self._blocked_at, attempt.sent_at)
+                attempt.unread_seconds = max(attempt.unread_seconds, unread)
+            attempt.record_progress(now)
         self._blocked = False
         self._held.release_unsent()
-        if self._attempt is not None:
-            self._attempt.record_progress(self._owner.reactor.seconds())
         if self._outbound is not None:
             self._outbound.resume()
 
--- a/src/coltsfootshift/gateway/holding.py
+++ b/src/coltsfootshift/gateway/holding.py
@@ -2,14 +2,36 @@
 
 from __future__ import annotations
 
-__all__ = ["HeldBytes", "HeldBody", "MAX_HELD_BYTES", "MIN_BODY_BYTES"]
+import os
+
+__all__ = [
+    "HeldBytes",
+    "HeldBody",
+    "MAX_HELD_BYTES",
+    "MIN_BODY_BYTES",
+    "compute_max_held_bytes",
+]
 
 MAX_HELD_BYTES = 48 * 1024 * 1024  # an entry needs some 50 MB besides, and may use 400 MB
+MAX_HELD_MEMORY_SHARE = 0.12  # of a smaller machine; request bodies take up to half of its memory
 # Bodies up to this size may be held in any case: a process that holds much through one service
 # treats the short answers of all others as before.
 MIN_BODY_BYTES = 16 * 1024
 
 
+def compute_max_held_bytes(memory_bytes: int | None = None) -> int:
+    """Return how many bytes of answers a process may hold.
+
+    `memory_bytes` is the memory of the machine; by default the system is asked for it.
+
+    >>> compute_max_held_bytes(150_000_000), compute_max_held_bytes(430_000_000)
+    (18000000, 50331648)
+    """
+    if memory_bytes is None:
+        memory_bytes = os.sysconf("SC_PHYS_PAGES") * os.sysconf("SC_PAGE_SIZE")
+    return min(MAX_HELD_BYTES, int(memory_bytes * MAX_HELD_MEMORY_SHARE))
+
+
 class HeldBytes:
     """The sum of what the answers in progress of one process hold, in bytes."""
 
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -12,6 +12,7 @@
 from twisted.python.failure import Failure
 
 from coltsfootshift.gateway.calls import Dialect, Headers, ResponseHead
+from coltsfootshift.gateway.unsent import count_unsent
 from coltsfootshift.settings import Address
 
 __all__ = ["ResponseReceiver", "EndpointConnection", "ConnectionPool"]
@@ -180,8 +181,14 @@
             self.transport.resumeProducing()
 
     def drain(self) -> None:
-        """Discard the rest of the response in progress; a short one leaves the connection open."""
-        if self._receiver is not None:
+        """Discard the rest of the response in progress; a short one leaves the connection open.
+
+        The connection is cancelled if the endpoint has not taken the whole request: the rest of a
+        long body would stay in memory although its caller's request goes on elsewhere.
+        """
+        if self._receiver is not None and count_unsent(self.transport):
+            self.cancel()
+        elif self._receiver is not None:
             self._receiver = _Drain(self, self._pool.reactor)
 
     def dataReceived(self, data: bytes) -> None:
@@ -325,9 +332,14 @@
                 receiver.response_completed()
 
     def _keep_or_abort(self) -> None:
-        """Keep the connection for the next request if nothing but the response has come on it."""
+        """Keep the connection for the next request if nothing but the response has come on it.
+
+        An endpoint that answers before it has taken the whole request may read on slowly. The rest
+        is dropped with the connection, and no other request waits behind it.
+        """
         http = self._http
         clean = not http.trailing_data[0] and http.our_state is h11.DONE
+        clean = clean and not count_unsent(self.transport)
         if clean and http.their_state is h11.DONE and not self._lost:
             self.resume()
             http.start_next_cycle()
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -37,7 +37,7 @@
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
-from coltsfootshift.gateway.holding import HeldBytes
+from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
@@ -139,7 +139,7 @@
         self._regions = dict(regions or {})
         self.tables = tables
         self.metrics = metrics
-        self.held_bytes = HeldBytes()
+        self.held_bytes = HeldBytes(compute_max_held_bytes())
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
         self._stop_schedule: StopSchedule | None = None
@@ -431,6 +431,10 @@
             loss.begun.append(exchange.admission.suspects)
             loss.requests.append(exchange.request)
 
+    def record_unread_cut(self) -> None:
+        """Count a response that an endpoint ended after its caller left it unread."""
+        self.metrics.count("answers_cut_unread")
+
     def record_survival(self, exchange: Exchange, begun_at: float) -> None:
         """Clear what a request has in common with others of the suspicion to end endpoints."""
         now = self.reactor.seconds()
