A status that HTTP does not define is no answer, for any reader

Cause: each reader compared whatever whole number stood in the status line. The caller gets a 502 of the entry's own, or another endpoint's answer where the request may be repeated (answers_not_http).

--- a/src/coltsfootshift/answers.py
+++ b/src/coltsfootshift/answers.py
@@ -14,10 +14,17 @@
 from twisted.python.failure import Failure
 from twisted.web.client import Agent, HTTPConnectionPool, ResponseDone
 from twisted.web.http import PotentialDataLoss
-from twisted.web.iweb import IAgentEndpointFactory, IBodyProducer
+from twisted.web.iweb import IAgent, IAgentEndpointFactory, IBodyProducer
 from zope.interface import implementer
 
 from coltsfootshift.errors import ColtsfootshiftError
+from coltsfootshift.logs import get_logger
+from coltsfootshift.statuses import (
+    STATUS_LINE_START_BYTES,
+    UndefinedStatusError,
+    is_final_status,
+    is_status_line,
+)
 
 __all__ = [
     "AnswerTooLongError",
@@ -30,6 +37,8 @@
 
 MAX_HEAD_BYTES = 64 * 1024  # of all heads of a response, informational ones included
 
+logger = get_logger("answers")
+
 
 class AnswerTooLongError(ColtsfootshiftError):
     """The body of an answer is longer than its reader allows."""
@@ -77,13 +86,16 @@
 
 
 def make_agent(reactor: Any, pool: HTTPConnectionPool) -> Any:
-    """Return an HTTP agent that closes a connection if the head of a response is too long.
+    """Return an HTTP agent that takes only responses of a defined status and a limited head.
+
+    A response with a status that HTTP does not define fails with `UndefinedStatusError`, or as a
+    lost connection, and is not read. Twisted takes any whole number for a status.
 
     Twisted limits a line of a head, but neither the number of lines nor of informational responses.
     It also looks up addresses in a thread, like names. On a busy machine that thread may wait for
     a processor longer than the response may take, so that addresses are connected to directly.
     """
-    return Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), pool)
+    return _StatusAgent(Agent.usingEndpointFactory(reactor, _EndpointFactory(reactor), pool))
 
 
 def read_body(
@@ -133,6 +145,37 @@
             self.done.errback(reason)
 
 
+@implementer(IAgent)
+class _StatusAgent:
+    """Fails the requests whose responses have a status that HTTP does not define."""
+
+    def __init__(self, agent: Any) -> None:
+        self._agent = agent
+
+    def request(self, method: bytes, uri: bytes, *args: Any, **options: Any) -> Deferred[Any]:
+        """Send a request, with the arguments of `IAgent.request`."""
+        requested: Deferred[Any] = self._agent.request(method, uri, *args, **options)
+        return requested.addCallback(_check_status, uri)
+
+
+def _check_status(response: Any, uri: bytes) -> Any:
+    if is_final_status(response.code):
+        return response
+    url = uri.decode("latin-1")
+    logger.warning("answer with an undefined status", extra={"url": url, "status": response.code})
+    response.deliverBody(_Abandoned())
+    raise UndefinedStatusError(f"status {response.code} is none of HTTP")
+
+
+class _Abandoned(Protocol):
+    """Closes the connection of a response that is not read."""
+
+    transport: Any
+
+    def connectionMade(self) -> None:
+        self.transport.loseConnection()
+
+
 class _Connection(ProtocolWrapper):
     """Limits the head of a response, and sends a body that expires at once or not at all.
 
@@ -146,6 +189,7 @@
         super().__init__(factory, protocol)
         self._in_head = True
         self._head_bytes = 0
+        self._start = b""
         self._producer: Any = None
 
     def registerProducer(self, producer: Any, streaming: bool) -> None:
@@ -176,6 +220,7 @@
         """Begin to count anew; the head of a request is written as a sequence."""
         self._in_head = True
         self._head_bytes = 0
+        self._start = b""
         super().writeSequence(data)
 
     def pauseProducing(self) -> None:
@@ -184,7 +229,13 @@
         self.transport.pauseProducing()
 
     def dataReceived(self, data: bytes) -> None:
-        """Pass on received bytes, and abort the connection if they are too many for a head."""
+        """Pass on received bytes; abort the connection if they are no head, or too many for one."""
+        if self._in_head and len(self._start) < STATUS_LINE_START_BYTES:
+            self._start += data[: STATUS_LINE_START_BYTES - len(self._start)]
+            if not is_status_line(self._start):
+                logger.warning("answer with an undefined status", extra={"line": str(self._start)})
+                self.transport.abortConnection()
+                return
         super().dataReceived(data)
         if not self._in_head:
             return
--- a/src/coltsfootshift/cli/client.py
+++ b/src/coltsfootshift/cli/client.py
@@ -7,6 +7,7 @@
 import urllib.request
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from http.client import HTTPException
 from typing import Any
 
 import msgspec
@@ -62,8 +63,8 @@
             return json.loads(response.read())
     except urllib.error.HTTPError as error:
         raise ReadError(f"{url}: {error}: {error.read().decode(errors='replace')}") from error
-    except (OSError, ValueError) as error:
-        raise ReadError(f"{url}: {error}") from error
+    except (OSError, ValueError, HTTPException) as error:
+        raise ReadError(f"{url}: {error!r}") from error
 
 
 def read_table(platform: str, name: str) -> PlatformTable:
--- a/src/coltsfootshift/engines/http.py
+++ b/src/coltsfootshift/engines/http.py
@@ -21,6 +21,7 @@
 )
 from coltsfootshift.engines.transfer import RequestBody, deliver_response
 from coltsfootshift.ids import Digest
+from coltsfootshift.statuses import is_success
 
 __all__ = ["HttpEndpoint"]
 
@@ -170,7 +171,7 @@
             content = await read_body(response, max_bytes, CONTROL_TIMEOUT_SECONDS, self._reactor)
         except Exception as error:
             raise EndpointError(f"{url}: {error}", started=True) from error
-        if response.code >= 400:
+        if not is_success(response.code):
             text = f"{url}: status {response.code}: {content[:200]!r}"
             raise EndpointError(text, started=False, status=response.code)
         return content
--- a/src/coltsfootshift/entry/attempts.py
+++ b/src/coltsfootshift/entry/attempts.py
@@ -16,6 +16,7 @@
 from coltsfootshift.messages import AnswerEnd, Submit
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.outcomes import Complete, NotRun, Outcome, Unknown
+from coltsfootshift.statuses import is_final_status
 from coltsfootshift.tickets import ParsedTicket, TicketError
 
 __all__ = ["RequestRunner"]
@@ -240,6 +241,9 @@
 
 
 def _make_outcome(end: AnswerEnd) -> Outcome:
+    if not is_final_status(end.status):
+        reason = f"the agent named the undefined status {end.status}"
+        return Unknown(reason, status=STATUS_INCOMPLETE)
     if end.outcome == "complete":
         return Complete(digest=end.digest, status=end.status)
     if end.outcome != "not_run":
--- a/src/coltsfootshift/gateway/calls.py
+++ b/src/coltsfootshift/gateway/calls.py
@@ -12,6 +12,7 @@
 from coltsfootshift.errors import ColtsfootshiftError
 from coltsfootshift.ids import InstanceId, PromptPartId, RequestId, TeamName
 from coltsfootshift.outcomes import NotRun, Unknown
+from coltsfootshift.statuses import is_success
 
 __all__ = [
     "ResponseHead",
@@ -136,7 +137,7 @@
     @property
     def succeeded(self) -> bool:
         """Whether the status is a success (2xx)."""
-        return 200 <= self.status < 300
+        return is_success(self.status)
 
 
 class Dialect(ABC):
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -5,6 +5,7 @@
 import socket
 from abc import ABC, abstractmethod
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import h11
@@ -14,6 +15,7 @@
 from coltsfootshift.gateway.calls import Dialect, Headers, ResponseHead
 from coltsfootshift.gateway.unsent import count_unsent
 from coltsfootshift.settings import Address
+from coltsfootshift.statuses import is_final_status
 
 __all__ = ["ResponseReceiver", "EndpointConnection", "ConnectionPool"]
 
@@ -200,8 +202,7 @@
         if len(self._start) < len(RESPONSE_START):
             self._start += data[: len(RESPONSE_START) - len(self._start)]
             if not RESPONSE_START.startswith(self._start):
-                self._fail(f"no HTTP answer: begins with {self._start!r}")
-                self._abort()
+                self._reject_answer(f"begins with {self._start!r}")
                 return
         self._http.receive_data(data)
         if not self._backlogged:
@@ -270,8 +271,7 @@
         try:
             event = self._http.next_event()
         except h11.RemoteProtocolError as error:
-            self._fail(f"no HTTP answer: {error}")
-            self._abort()
+            self._reject_answer(str(error))
             return False
         if event is h11.NEED_DATA or event is h11.PAUSED:
             return False
@@ -288,6 +288,12 @@
             return False
         return True
 
+    def _reject_answer(self, cause: str) -> None:
+        """Fail the request: what has arrived is no answer in HTTP, and it may have run."""
+        self._pool.count_no_answer()
+        self._fail(f"no HTTP answer: {cause}")
+        self._abort()
+
     def _limit_head_time(self) -> None:
         """Start the time within which a head has to be complete, unless none has begun."""
         if self._receiver is not None and self._http.trailing_data[0]:
@@ -305,6 +311,9 @@
 
     def _handle_head(self, event: h11.Response) -> None:
         self._cancel_head_timer()
+        if not is_final_status(event.status_code):
+            self._reject_answer(f"status {event.status_code}")
+            return
         head = self._pool.dialect.parse_response(event.status_code, event.headers)
         if head.request != self._request:
             self._fail(f"the answer names the request {head.request!r}")
@@ -484,10 +493,15 @@
         outbound.send_on(self)
 
 
+def _ignore() -> None:
+    return None
+
+
 class ConnectionPool:
     """The pooled connections to one endpoint; the most recently used one is reused first.
 
-    `received_at` is when the endpoint last sent something on any of them.
+    `received_at` is when the endpoint last sent something on any of them. `count_no_answer` is
+    called for each response that is none in HTTP.
     """
 
     def __init__(self, reactor: Any, address: Address, dialect: Dialect, source: str) -> None:
@@ -496,6 +510,7 @@
         self.dialled = 0
         self.received_at: float | None = None
         self.max_open = 1 << 30
+        self.count_no_answer: Callable[[], None] = _ignore
         self._address = address
         self._source = source
         self._idle: deque[EndpointConnection] = deque()
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -541,6 +541,8 @@
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
             )
+            count_no_answer = partial(self.metrics.count, "answers_not_http")
+            self._pools[name].count_no_answer = count_no_answer
         state.update_record(record)
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entry_count)
