--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -37,9 +37,10 @@
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
-from coltsfootshift.gateway.holding import HeldBytes
+from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
 from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules
 from coltsfootshift.gateway.links import ConnectionPool
+from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
 from coltsfootshift.gateway.placement import EndpointState, Placement, forecast_slots
 from coltsfootshift.gateway.stopping import StopSchedule
@@ -139,7 +140,7 @@
         self.tables = tables
         self.metrics = metrics
         self._homes = HomeRules(tables, metrics, regions or {}, domain, bounds.config_within)
-        self.held_bytes = HeldBytes()
+        self.held_bytes = HeldBytes(compute_max_held_bytes())
         self.beliefs = beliefs or SharedBeliefs()
         self.notify_peers: Callable[[Message], None] | None = None
         self._stop_schedule: StopSchedule | None = None
@@ -178,6 +179,10 @@
         metrics.add_gauge("exchanges_open", lambda: float(len(self._exchanges)))
         metrics.add_gauge("answer_bytes_held", lambda: float(self.held_bytes.size))
         metrics.add_gauge("exchanges_waiting", self._count_waiting)
+        self._load_reports = LoadReportCounter(metrics)
+        metrics.add_gauge(
+            "endpoint_slowdown_highest", lambda: find_highest_slowdown(self._states.values())
+        )
         metrics.add_gauge(
             "links_dialled", lambda: float(sum(p.dialled for p in self._pools.values()))
         )
@@ -394,6 +399,7 @@
 
     def record_notices(self, state: EndpointState, head: ResponseHead) -> None:
         """Keep requests from an endpoint that leaves, or that wants none for a while."""
+        self._load_reports.record(state, head.load)
         now = self.reactor.seconds()
         name, service = state.record.incarnation, state.record.service
         if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
@@ -427,6 +433,10 @@
             loss.begun.append(exchange.admission.suspects)
             loss.requests.append(exchange.request)
 
+    def record_unread_cut(self) -> None:
+        """Count a response that an endpoint ended after its caller left it unread."""
+        self.metrics.count("answers_cut_unread")
+
     def record_survival(self, exchange: Exchange, begun_at: float) -> None:
         """Clear what a request has in common with others of the suspicion to end endpoints."""
         now = self.reactor.seconds()
@@ -533,6 +543,8 @@
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
             )
+            count_no_answer = partial(self.metrics.count, "answers_not_http")
+            self._pools[name].count_no_answer = count_no_answer
         state.update_record(record)
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entry_count)
