Take evacuated failure domains out of service

An operator's evacuation was logged as undecodable, and requests went on to the endpoints there. An entry now leaves them out of placement, sends elsewhere what has not left it, and refuses at once what waits without a prospect. While the store has come back from an older copy, the known state holds until it was corrected.

--- /dev/null
+++ b/src/coltsfootshift/gateway/evacuation_monitor.py
@@ -0,0 +1,91 @@
+"""What an entry does about evacuations of failure domains, and what operators see of them."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Collection
+from functools import partial
+
+from coltsfootshift.gateway.exchange import Exchange
+from coltsfootshift.gateway.table_cache import TableCache
+from coltsfootshift.ids import FailureDomain
+from coltsfootshift.logs import get_logger
+from coltsfootshift.metrics import Metrics
+
+__all__ = ["EvacuationMonitor"]
+
+logger = get_logger("gateway.evacuations")
+
+
+class EvacuationMonitor:
+    """Notices which evacuations begin and end, empties the domains and shows them to operators.
+
+    A request that has not left this process for an evacuated domain goes elsewhere. What has been
+    sent may have begun, and ends where it is.
+    """
+
+    def __init__(
+        self,
+        tables: TableCache,
+        metrics: Metrics,
+        read_time: Callable[[], float],
+        exchanges: Collection[Exchange],
+    ) -> None:
+        self._tables = tables
+        self._metrics = metrics
+        self._read_time = read_time
+        self._exchanges = exchanges
+        self._out: dict[FailureDomain, float] = {}
+        metrics.add_gauge("failure_domains_evacuated", lambda: float(len(self._out)))
+        metrics.add_gauge("evacuated_requests_running", self._count_all_requests)
+
+    def update(self) -> tuple[list[FailureDomain], list[FailureDomain]]:
+        """Return the domains that are out, and those that are back, since the last call."""
+        out = self._tables.evacuations.list_out()
+        begun = [domain for domain in out if domain not in self._out]
+        ended = [domain for domain in self._out if domain not in out]
+        for domain in ended:
+            self._show_end(domain, self._out.pop(domain))
+        for domain in begun:
+            self._out[domain] = out[domain]
+            self._show_begin(domain, out[domain])
+        for exchange in list(self._exchanges) if begun else ():
+            state = exchange.attempted
+            if state is not None and state.record.failure_domain in begun:
+                exchange.guard(exchange.move_unsent, "the failure domain is evacuated")
+        return begun, ended
+
+    def _show_begin(self, domain: FailureDomain, since: float) -> None:
+        listed = [record.failure_domain for record in self._tables.endpoints.values()]
+        logger.info(
+            "failure domain evacuated",
+            extra={
+                "domain": domain,
+                "known_for": round(self._read_time() - since, 3),
+                "endpoints": listed.count(domain),
+                "running": self._count_requests(domain),
+            },
+        )
+        self._metrics.add_gauge(
+            f"evacuation_seconds_{domain}", lambda: round(self._read_time() - since, 3)
+        )
+        self._metrics.add_gauge(
+            f"evacuation_requests_{domain}", partial(self._count_requests, domain)
+        )
+
+    def _show_end(self, domain: FailureDomain, since: float) -> None:
+        seconds = round(self._read_time() - since, 3)
+        extra = {"domain": domain, "out_for": seconds, "running": self._count_requests(domain)}
+        logger.info("failure domain back in service", extra=extra)
+        self._metrics.remove_gauge(f"evacuation_seconds_{domain}")
+        self._metrics.remove_gauge(f"evacuation_requests_{domain}")
+
+    def _list_attempted(self) -> list[FailureDomain]:
+        """Return the failure domain of each attempt in progress."""
+        states = [exchange.attempted for exchange in self._exchanges]
+        return [state.record.failure_domain for state in states if state is not None]
+
+    def _count_requests(self, domain: FailureDomain) -> float:
+        return float(self._list_attempted().count(domain))
+
+    def _count_all_requests(self) -> float:
+        return float(sum(domain in self._out for domain in self._list_attempted()))
--- /dev/null
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -0,0 +1,155 @@
+"""The failure domains that the operator has taken out of service, and since when."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from math import inf
+
+from coltsfootshift.gateway.endpoint_list import MAX_COPY_AGE_SECONDS
+from coltsfootshift.ids import FailureDomain
+
+__all__ = ["Evacuations"]
+
+
+@dataclass(slots=True)
+class _Evacuation:
+    """An item that evacuates a domain, as the store last had it; not in force while deferred."""
+
+    domain: FailureDomain
+    era: int
+    revision: int
+    since: float
+    deferred: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class _Lift:
+    """The end of an evacuation; its item never had a higher revision than `revision`."""
+
+    domain: FailureDomain
+    revision: int
+    lifted_at: float
+
+
+class Evacuations:
+    """Decides which failure domains are out of service.
+
+    Load pattern: a domain is emptied under full load while the store comes back from an older copy
+    of itself. The items of evacuations carry no number of the operator's that would tell which of
+    two is newer. For the first seconds of an era of the store the known state stands: an evacuation
+    that the copy lacks holds on, and one that was lifted, but that the copy still has, is deferred.
+    The operator corrects the store meanwhile; after `settled_at` the store's state counts.
+
+    Times are in seconds of the process's clock. Items are identified by their keys.
+
+    >>> evacuations = Evacuations()
+    >>> evacuations.begin_era(era=1, settled_at=3.0)
+    >>> evacuations.record("evacuate/a", FailureDomain("a"), era=1, revision=7, now=5.0)
+    True
+    >>> evacuations.begin_era(era=2, settled_at=13.0)
+    >>> evacuations.settle(12.9), evacuations.list_out()
+    ([], {'a': 5.0})
+    >>> evacuations.settle(13.0), evacuations.list_out()
+    (['evacuate/a'], {})
+    """
+
+    def __init__(self) -> None:
+        self._held: dict[str, _Evacuation] = {}
+        self._lifts: dict[str, _Lift] = {}
+        self._era = 0
+        self._settled_at = -inf
+
+    def __repr__(self) -> str:
+        return f"Evacuations({self.list_out()!r})"
+
+    def __contains__(self, key: str) -> bool:
+        return key in self._held
+
+    def begin_era(self, era: int, settled_at: float) -> None:
+        """Follow the store in an era; its state counts from `settled_at` on."""
+        self._era = era
+        self._settled_at = settled_at
+
+    def record(
+        self,
+        key: str,
+        domain: FailureDomain,
+        era: int,
+        revision: int,
+        now: float,
+        copied: bool = False,
+    ) -> bool:
+        """Record an item that evacuates a domain; return whether it is news.
+
+        `copied` is set if the item came with the copy of the store that began the era.
+        """
+        held = self._held.get(key)
+        lift = self._lifts.get(key)
+        is_old = lift is not None and revision <= lift.revision
+        if held is None:
+            if era < self._era and (is_old or now >= self._settled_at):
+                return False
+            self._held[key] = _Evacuation(domain, era, revision, now, copied and is_old)
+            return True
+        if (era, revision) <= (held.era, held.revision):
+            return False
+        held.era, held.revision = era, revision
+        if held.deferred and not (copied and is_old):
+            held.deferred, held.since = False, now
+        return True
+
+    def lift(self, key: str, now: float) -> None:
+        """Record that the item of an evacuation was removed."""
+        held = self._held.pop(key, None)
+        if held is None or held.deferred:
+            return
+        previous = self._lifts.get(key)
+        revision = held.revision if previous is None else max(previous.revision, held.revision)
+        self._lifts[key] = _Lift(held.domain, revision, now)
+        for old in [k for k, v in self._lifts.items() if now - v.lifted_at > MAX_COPY_AGE_SECONDS]:
+            del self._lifts[old]
+
+    def settle(self, now: float) -> list[str]:
+        """Let the store's state count if it is time; return the keys of the items this changes.
+
+        Evacuations that the store has lacked since the era began are lifted, and those that it has
+        kept come into force.
+        """
+        if not self._held or now < self._settled_at:
+            return []
+        changed = []
+        for key, held in list(self._held.items()):
+            if held.era < self._era:
+                changed.append(key)
+                self.lift(key, now)
+            elif held.deferred:
+                changed.append(key)
+                held.deferred, held.since = False, now
+        return changed
+
+    def accepts(self, key: str, era: int, now: float) -> bool:
+        """Return whether an unknown evacuation of an earlier era may still count."""
+        return key not in self._held and era < self._era and now < self._settled_at
+
+    def is_out(self, domain: FailureDomain) -> bool:
+        """Return whether a domain is out of service."""
+        return any(held.domain == domain and not held.deferred for held in self._held.values())
+
+    def is_deferred(self, key: str) -> bool:
+        """Return whether the store has an evacuation that was lifted before."""
+        held = self._held.get(key)
+        return held is not None and held.deferred
+
+    def list_out(self) -> dict[FailureDomain, float]:
+        """Return the domains that are out of service, and since when this process knows that."""
+        return {held.domain: held.since for held in self._held.values() if not held.deferred}
+
+    def list_kept(self) -> dict[str, int]:
+        """Return the keys of the evacuations that the store has lost, and their eras."""
+        rows = self._held.items()
+        return {key: held.era for key, held in rows if held.era < self._era and not held.deferred}
+
+    def lifted_at(self, domain: FailureDomain) -> float | None:
+        """Return when the latest evacuation of a domain ended, or None if none is known."""
+        ends = [lift.lifted_at for lift in self._lifts.values() if lift.domain == domain]
+        return max(ends, default=None)
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -332,6 +332,14 @@
         self._cancel_attempt()
         self._retry(attempt, f"version {version} may answer no more")
 
+    def move_unsent(self, reason: str) -> None:
+        """Give up an attempt that has not left this process, and send the request elsewhere."""
+        attempt = self._attempt
+        if attempt is None or self.sent:
+            return
+        self._cancel_attempt()
+        self._retry(attempt, reason)
+
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
         now = self._owner.reactor.seconds()
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -467,8 +467,8 @@
 
     def _lacks_version(self, row: TableRevision) -> bool:
         """Return whether a peer has a newer version of an operator's item than this process."""
-        known = self._tables.get_operator_versions()
-        return any(item.version > known.get(item.key, -1) for item in row.versions)
+        now = self._context.reactor.seconds()
+        return any(self._tables.lacks_version(v.key, v.version, now) for v in row.versions)
 
     def _find_wait(self, table: Table, stream: PeerStream) -> float:
         """Return for how long an announced change may still come without a request to this peer.
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -36,6 +36,7 @@
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
+from coltsfootshift.gateway.evacuation_monitor import EvacuationMonitor
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes
 from coltsfootshift.gateway.links import ConnectionPool
@@ -49,7 +50,14 @@
     WITHDRAWAL_MARGIN_SECONDS,
     find_first_limit,
 )
-from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, Turn, draw_retry_after
+from coltsfootshift.gateway.waiting import (
+    QueuedRequest,
+    ServiceQueue,
+    SlotForecast,
+    Turn,
+    draw_retry_after,
+    refuse_unserved,
+)
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Message
@@ -164,6 +172,9 @@
         self._exchanges: set[Exchange] = set()
         self._losses: dict[str, _PendingLoss] = {}
         self._notices = EndpointNotices()
+        self._evacuation_monitor = EvacuationMonitor(
+            tables, metrics, reactor.seconds, self._exchanges
+        )
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
         self._own = InstanceId("")
@@ -246,6 +257,8 @@
             state = self._update_state(name, record, spec)
             if record.leaving or self._notices.is_leaving(record.incarnation):
                 continue
+            if self.tables.evacuations.is_out(record.failure_domain):
+                continue
             # An endpoint that started later at the same address has taken the place of this one,
             # whose record stays until its lease expires.
             if record.born >= latest_starts[record.address]:
@@ -254,7 +267,12 @@
             del self._states[name]
             self._pools.pop(name).close()
         self._by_service = by_service
+        begun, ended = self._evacuation_monitor.update()
         self._dispatch_all_queues()
+        if begun:
+            refuse_unserved(self._queues.values(), self._forecast, self.reactor.seconds())
+        for domain in ended:
+            self._evacuation_ended(domain, self.reactor.seconds())
 
     def handle_request(self, incoming: IncomingRequest) -> None:
         """Check a request, then place it on an endpoint or queue it, or respond with a refusal."""
@@ -478,6 +496,16 @@
         if changed:
             self.refresh()
 
+    def _forecast(self, exchange: Exchange, now: float) -> SlotForecast | None:
+        """Return when places for a request come free; None if no endpoint will serve it."""
+        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+        return forecast_slots(states, self._entry_count, now) if states else None
+
+    def _evacuation_ended(self, domain: FailureDomain, now: float) -> None:
+        """Use the endpoints of a failure domain again whose evacuation has ended."""
+        states = [s for s in self._states.values() if s.record.failure_domain == domain]
+        logger.info("endpoints used again", extra={"domain": domain, "endpoints": len(states)})
+
     def _judge_loss(self, name: str) -> None:
         """Record the end of an endpoint that has closed all of this entry's connections."""
         loss = self._losses.pop(name)
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -14,6 +14,7 @@
     EndpointList,
     EngineStatus,
 )
+from coltsfootshift.gateway.evacuations import Evacuations
 from coltsfootshift.gateway.item_values import ValueHistory
 from coltsfootshift.gateway.model import EndpointRecord, GatewayCatalogue
 from coltsfootshift.ids import FailureDomain, InstanceId
@@ -229,7 +230,10 @@
         """Return the model and version published in an item of the operator table."""
 
     def read_evacuation(self, item: Item) -> FailureDomain | None:
-        """Return the failure domain that an item of the operator table evacuates."""
+        """Return the failure domain that an item of the operator table evacuates.
+
+        The item's value does not matter.
+        """
         return None
 
     @abstractmethod
@@ -252,7 +256,8 @@
 
     `retained` holds the keys of the operator's items that are newer here than in a store that has
     come back from an older copy, until they have been written again. They are expected to be
-    written by `complete_from`.
+    written by `complete_from`. `lifted` holds those of the evacuations in such a store that were
+    lifted before, until they are removed again.
     """
 
     position: TablePosition = TablePosition()
@@ -260,6 +265,7 @@
     reconnected_at: float = float("-inf")
     items: dict[str, Item] = field(default_factory=dict)
     retained: set[str] = field(default_factory=set)
+    lifted: set[str] = field(default_factory=set)
     complete_from: float = float("-inf")
     content: bytes | None = None
 
@@ -283,7 +289,7 @@
         A store that came back and still lacks what it once had confirms nothing for a while: it may
         lack later changes, too.
         """
-        if not self.retained or now >= self.complete_from:
+        if not (self.retained or self.lifted) or now >= self.complete_from:
             self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
 
@@ -293,14 +299,16 @@
     An answer from an earlier point in the store's history than the cached table is ignored. A
     store that has come back from an older copy of itself is followed in its new era, but nothing
     older replaces what is known: catalogues and published versions are ordered by the operator's
-    own version numbers, which only increase, and endpoints by what they can have become since
-    (`EndpointList`).
+    own version numbers, which only increase, endpoints by what they can have become since
+    (`EndpointList`), and evacuations by what is known until the operator has corrected the store
+    (`Evacuations`).
     """
 
     def __init__(self, decoder: ItemDecoder, started_at: float = 0.0) -> None:
         self._started_at = started_at
         self.catalogue: GatewayCatalogue | None = None
         self.endpoint_list = EndpointList()
+        self.evacuations = Evacuations()
         self.operator_values = ValueHistory()
         self.wanted_versions: dict[str, list[WantedVersion]] = {}
         self._decoder = decoder
@@ -335,8 +343,17 @@
         return self._tables[table].position
 
     def get_operator_versions(self) -> dict[str, int]:
-        """Return the operator's version of each cached item of the operator table, by key."""
-        return dict(self._operator_versions)
+        """Return the operator's version of each cached item of the operator table, by key.
+
+        An evacuation has no version. One that the store has lost is listed with its era.
+        """
+        return {**self._operator_versions, **self.evacuations.list_kept()}
+
+    def lacks_version(self, key: str, version: int, now: float) -> bool:
+        """Return whether a peer's version of an operator's item is newer than the one known."""
+        if self._decoder.read_evacuation(Item(key, 0, b"")) is not None:
+            return self.evacuations.accepts(key, version, now)
+        return version > self._operator_versions.get(key, -1)
 
     def measure_age(self, table: Table, now: float) -> float:
         """Return the seconds since the store last confirmed a table; infinite if it never has."""
@@ -361,16 +378,20 @@
             return False
         if restored:
             self._begin_era(answer, state, now)
+        elif self._is_first_answer and answer.table is Table.OPERATOR:
+            self.evacuations.begin_era(answer.era, now + REWRITE_SECONDS)
         previously_confirmed_at = state.confirmed_at
         self.record_running(now)
         state.record_contact(now)
         state.position = answer.position
         if answer.items or answer.complete:
             state.content = None
-        changed = False
+        changed = self._settle_evacuations(now)
         for item in self._list_changes(answer, state):
             if answer.table is Table.OPERATOR:
-                changed |= self._apply_operator_item(item, state, now, previously_confirmed_at)
+                changed |= self._apply_operator_item(
+                    item, state, now, previously_confirmed_at, restored
+                )
             else:
                 changed |= self._apply_endpoint_item(item, state, now, restored)
         state.renew(answer.confirmed_at, now)
@@ -480,8 +501,9 @@
         return self.endpoint_list.update_engine_status(address, status)
 
     def remove_expired(self, now: float) -> bool:
-        """Apply what was deferred for endpoints until now; return whether there was anything."""
-        return self.endpoint_list.apply_deferred(now)
+        """Apply what was deferred until now; return whether there was anything."""
+        settled = self._settle_evacuations(now)
+        return self.endpoint_list.apply_deferred(now) or settled
 
     def _apply_outdated(self, answer: TableAnswer, state: _TableState, now: float) -> bool:
         """Take from an outdated answer only the operator's items that are newer than those known.
@@ -494,6 +516,12 @@
         if answer.table is not Table.OPERATOR:
             return changed
         for item in answer.items:
+            domain = self._read_evacuation(item, state)
+            if domain is not None:
+                changed |= item.era < state.position.era and self._apply_evacuation(
+                    item, domain, state, now
+                )
+                continue
             content = self._decode_operator_item(item)
             if content is None or content.version <= self._operator_versions.get(item.key, -1):
                 continue
@@ -509,7 +537,14 @@
         state.reconnected_at = now
         if answer.table is Table.OPERATOR:
             state.complete_from = now + REWRITE_SECONDS
-            state.retained = {key for key in state.items if key in self._operator_versions}
+            state.retained = {key for key in state.items if self._is_retained(key)}
+            self.evacuations.begin_era(answer.era, state.complete_from)
+
+    def _is_retained(self, key: str) -> bool:
+        """Return whether a cached item stays although a store that came back lacks it."""
+        if key in self.evacuations:
+            return not self.evacuations.is_deferred(key)
+        return key in self._operator_versions
 
     def _list_changes(self, answer: TableAnswer, state: _TableState) -> list[Item]:
         """Return the items of an answer and, if it is complete, the removal of all others.
@@ -527,7 +562,12 @@
         return items
 
     def _apply_operator_item(
-        self, item: Item, state: _TableState, now: float, previously_confirmed_at: float
+        self,
+        item: Item,
+        state: _TableState,
+        now: float,
+        previously_confirmed_at: float,
+        restored: bool,
     ) -> bool:
         """Apply an item unless a newer one of its key is known; return whether it has changed."""
         cached = state.items.get(item.key)
@@ -536,7 +576,12 @@
                 return False
             del state.items[item.key]
             state.retained.discard(item.key)
+            state.lifted.discard(item.key)
+            self.evacuations.lift(item.key, now)
             return True
+        domain = self._read_evacuation(item, state)
+        if domain is not None:
+            return self._apply_evacuation(item, domain, state, now, restored)
         if cached is not None and cached.value == item.value:
             state.retained.discard(item.key)
             return False
@@ -578,6 +623,52 @@
         else:
             self._add_version(content, item, now, previously_confirmed_at)
 
+    def _read_evacuation(self, item: Item, state: _TableState) -> FailureDomain | None:
+        """Return the domain that an item evacuates; one that is cached as another kind has none."""
+        if item.key in state.items and item.key not in self.evacuations:
+            return None
+        return self._decoder.read_evacuation(item)
+
+    def _apply_evacuation(
+        self,
+        item: Item,
+        domain: FailureDomain,
+        state: _TableState,
+        now: float,
+        restored: bool = False,
+    ) -> bool:
+        """Apply an item that evacuates a domain; return whether it is news."""
+        key = item.key
+        if not self.evacuations.record(key, domain, item.era, item.revision, now, restored):
+            return False
+        row = {"domain": domain, "revision": item.revision, "era": item.era}
+        logger.info("evacuation told", extra=row)
+        state.items[key] = item
+        state.content = None
+        for keys, is_member in (
+            (state.retained, item.era < state.position.era),
+            (state.lifted, self.evacuations.is_deferred(key)),
+        ):
+            if is_member:
+                keys.add(key)
+            else:
+                keys.discard(key)
+        return True
+
+    def _settle_evacuations(self, now: float) -> bool:
+        """Let the store's evacuations count if it is time; return whether that changes any."""
+        state = self._tables[Table.OPERATOR]
+        changed = self.evacuations.settle(now)
+        for key in changed:
+            state.lifted.discard(key)
+            if key in self.evacuations:
+                continue
+            state.items.pop(key, None)
+            state.retained.discard(key)
+            state.content = None
+            logger.warning("evacuation not written again, lifted", extra={"key": key})
+        return bool(changed)
+
     def _decode_operator_item(self, item: Item) -> _OperatorContent | None:
         catalogue = self._decoder.read_catalogue(item)
         if catalogue is not None:
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -6,12 +6,20 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import IntEnum
+from math import inf
 from random import Random
 from typing import Any
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "Turn", "draw_retry_after"]
+__all__ = [
+    "QueuedRequest",
+    "ServiceQueue",
+    "SlotForecast",
+    "Turn",
+    "draw_retry_after",
+    "refuse_unserved",
+]
 
 # Overload lasts longer than one slot takes to become free; an earlier retry would be refused too.
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -143,6 +151,28 @@
         heapq.heapify(kept)
         self._heap = kept
 
+    def recheck(
+        self, forecast: Callable[[Any, float], SlotForecast | None], now: float
+    ) -> Iterator[tuple[QueuedRequest, NotRun]]:
+        """Remove the requests that will get no place in time; yield them with refusals.
+
+        Load pattern: a failure domain is emptied at a moment of full load, so that far more waits
+        than the other endpoints take in time. `forecast` returns when places for an item come free,
+        or None if there will be none.
+        """
+        kept: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
+        for row in sorted(row for row in self._heap if row[-1].open):
+            request = row[-1]
+            slots = forecast(request.item, now)
+            wait = inf if slots is None else slots.find_wait(len(kept) + 1)
+            if now + wait <= request.latest:
+                kept.append(row)
+                continue
+            request.open = False
+            reason = f"places were lost: {len(kept)} ahead, a place in {wait:.3f} s"
+            yield request, self._make_refusal(reason, request, wait, now)
+        self._heap = kept
+
     def peek(self, after: QueuedRequest | None = None) -> QueuedRequest | None:
         """Return the next request, or the next one `after` another; None if there is none."""
         while self._heap and not self._heap[0][-1].open:
@@ -167,6 +197,17 @@
         return NotRun(reason, retry_after=draw_retry_after(left, expected_wait, self._rng))
 
 
+def refuse_unserved(
+    queues: Iterable[ServiceQueue],
+    forecast: Callable[[Any, float], SlotForecast | None],
+    now: float,
+) -> None:
+    """Refuse the queued requests that get no place in time now that places have been lost."""
+    for queue in queues:
+        for queued, refusal in list(queue.recheck(forecast, now)):
+            queued.item.guard(queued.item.refuse, refusal)
+
+
 def draw_retry_after(time_left: float, expected_wait: float, rng: Random) -> float:
     """Return after how many seconds a refused caller should retry.
 
--- a/src/coltsfootshift/metrics.py
+++ b/src/coltsfootshift/metrics.py
@@ -48,6 +48,10 @@
         """Register a gauge; `read` is called for each snapshot."""
         self._gauges[name] = read
 
+    def remove_gauge(self, name: str) -> None:
+        """Remove a gauge of something that exists no more; nothing happens if there is none."""
+        self._gauges.pop(name, None)
+
     def observe(self, name: str, seconds: float) -> None:
         """Record a duration in seconds."""
         histogram = self._histograms.get(name)
