--- a/src/coltsfootshift/gateway/evacuations.py
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -58,6 +58,7 @@
         self._lifts: dict[str, _Lift] = {}
         self._era = 0
         self._settled_at = -inf
+        self._followed = (0, 0)
 
     def __repr__(self) -> str:
         return f"Evacuations({self.list_out()!r})"
@@ -65,10 +66,14 @@
     def __contains__(self, key: str) -> bool:
         return key in self._held
 
-    def begin_era(self, era: int, settled_at: float) -> None:
-        """Follow the store in an era; its state counts from `settled_at` on."""
+    def begin_era(self, era: int, settled_at: float, followed: tuple[int, int] = (0, 0)) -> None:
+        """Follow the store in an era; its state counts from `settled_at` on.
+
+        `followed` is the era and revision up to which the store was followed before.
+        """
         self._era = era
         self._settled_at = settled_at
+        self._followed = followed
 
     def record(
         self,
@@ -85,16 +90,18 @@
         """
         held = self._held.get(key)
         lift = self._lifts.get(key)
-        is_old = lift is not None and revision <= lift.revision
+        was_lifted = lift is not None and revision <= lift.revision
         if held is None:
-            if era < self._era and (is_old or now >= self._settled_at):
+            # What is not held up to the point at which an era was left had been removed there.
+            was_removed = era == self._followed[0] and revision <= self._followed[1]
+            if era < self._era and (was_removed or was_lifted or now >= self._settled_at):
                 return False
-            self._held[key] = _Evacuation(domain, era, revision, now, copied and is_old)
+            self._held[key] = _Evacuation(domain, era, revision, now, copied and was_lifted)
             return True
         if (era, revision) <= (held.era, held.revision):
             return False
         held.era, held.revision = era, revision
-        if held.deferred and not (copied and is_old):
+        if held.deferred and not (copied and was_lifted):
             held.deferred, held.since = False, now
         return True
 
@@ -128,7 +135,7 @@
         return changed
 
     def accepts(self, key: str, era: int, now: float) -> bool:
-        """Return whether an unknown evacuation of an earlier era may still count."""
+        """Return whether an evacuation of an earlier era, which is not known here, may count."""
         return key not in self._held and era < self._era and now < self._settled_at
 
     def is_out(self, domain: FailureDomain) -> bool:
@@ -145,9 +152,8 @@
         return {held.domain: held.since for held in self._held.values() if not held.deferred}
 
     def list_kept(self) -> dict[str, int]:
-        """Return the keys of the evacuations that the store has lost, and their eras."""
-        rows = self._held.items()
-        return {key: held.era for key, held in rows if held.era < self._era and not held.deferred}
+        """Return the keys and eras of the evacuations that the store has lost and that stand."""
+        return {key: held.era for key, held in self._held.items() if held.era < self._era}
 
     def lifted_at(self, domain: FailureDomain) -> float | None:
         """Return when the latest evacuation of a domain ended, or None if none is known."""
--- a/src/coltsfootshift/gateway/table_cache.py
+++ b/src/coltsfootshift/gateway/table_cache.py
@@ -538,7 +538,8 @@
         if answer.table is Table.OPERATOR:
             state.complete_from = now + REWRITE_SECONDS
             state.retained = {key for key in state.items if self._is_retained(key)}
-            self.evacuations.begin_era(answer.era, state.complete_from)
+            followed = (state.position.era, state.position.revision)
+            self.evacuations.begin_era(answer.era, state.complete_from, followed)
 
     def _is_retained(self, key: str) -> bool:
         """Return whether a cached item stays although a store that came back lacks it."""
