--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -285,6 +285,71 @@
     assert list_out(tables) == ["a"]
 
 
+def put(era, revision, now, copied=False):
+    domain = FailureDomain("a")
+    return lambda evacuations: evacuations.record(KEY, domain, era, revision, now, copied)
+
+
+def lift(now):
+    return lambda evacuations: evacuations.lift(KEY, now)
+
+
+def begin_era(era, now, *followed):
+    return lambda evacuations: evacuations.begin_era(era, now + REWRITE_SECONDS, *followed)
+
+
+@pytest.mark.parametrize(
+    ("steps", "expected"),
+    [
+        ([begin_era(2, 0.0), put(1, 10, SOON)], True),
+        ([begin_era(2, 0.0), put(1, 10, LATER)], False),
+        ([begin_era(2, 0.0, (1, 25)), put(1, 10, SOON)], False),
+        ([begin_era(2, 0.0, (1, 25)), put(1, 26, SOON)], True),
+        ([begin_era(3, 0.0, (2, 25)), put(1, 10, SOON)], True),
+        ([put(0, 10, 0.0), lift(0.0), begin_era(2, 0.0, (1, 5)), put(0, 10, SOON)], False),
+        ([put(0, 10, 0.0), lift(0.0), begin_era(2, 0.0, (1, 5)), put(0, 11, SOON)], True),
+        (
+            [put(0, 25, 0.0), lift(0.0), put(0, 4, 0.0), lift(0.0), begin_era(1, 0.0)]
+            + [put(1, 20, 0.0, copied=True)],
+            False,
+        ),
+    ],
+    ids=[
+        "lost by the copy",
+        "told too late",
+        "lifted as far as it was followed",
+        "written beyond that",
+        "of two eras ago",
+        "of two eras ago, lifted",
+        "of two eras ago, written after the lift",
+        "lifted twice, higher revision first",
+    ],
+)
+def test_item_of_an_earlier_era(steps, expected):
+    evacuations = Evacuations()
+    for step in steps:
+        step(evacuations)
+    assert evacuations.is_out(FailureDomain("a")) is expected
+
+
+@pytest.mark.parametrize("copies", [[[10], []], [[]]], ids=["lifted, then lost", "lost"])
+def test_item_that_is_gone_is_told_to_nobody(copies):
+    """A process that starts would take it for one that stands."""
+    tables = make_cache((KEY, 10, b"{}"))
+    if len(copies) > 1:
+        apply(tables, Table.OPERATOR, [(KEY, 21, None)], (1, 21), 5.0, EVENTS)
+    for number, revisions in enumerate(copies):
+        items = [make_catalogue(7), *((KEY, revision, b"{}") for revision in revisions)]
+        apply(tables, Table.OPERATOR, items, (2 + number, 12), 10.0)
+    before = tables.digest_content(Table.OPERATOR)
+    was_listed = KEY in tables.list_items(Table.OPERATOR, TablePosition())[1]
+    assert was_listed is (len(copies) == 1)
+    tables.remove_expired(10.0 + LATER)
+    assert KEY not in tables.list_items(Table.OPERATOR, TablePosition())[1]
+    assert KEY not in tables.get_operator_versions()
+    assert (tables.digest_content(Table.OPERATOR) != before) is was_listed
+
+
 def test_lifts_of_long_ago_are_forgotten():
     evacuations = Evacuations()
     for number in range(200):
