--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -164,6 +164,29 @@
     return results[0]
 
 
+@pytest.mark.parametrize("value", [b"{}", b"", b"\xff", b"null", b"[1"], ids=repr)
+@pytest.mark.parametrize(
+    ("key", "domain"),
+    [
+        ("op/evacuate/north-a", "north-a"),
+        ("op/evacuate/a/b", "a/b"),
+        ("op/evacuate/", None),
+        ("op/evacuate/a b", None),
+        ("op/evacuate/\u00e9", None),
+        ("op/evacuate/" + "z" * 300, None),
+        ("op/evacuate", None),
+        ("op/version/m", None),
+    ],
+)
+def test_evacuation_is_read_from_its_key(key, domain, value):
+    """An odd key evacuates nothing, and an odd value does not hide an evacuation."""
+    item = Item(key, 1, value)
+    assert StoreItemDecoder().read_evacuation(item) == domain
+    tables = TableCache(StoreItemDecoder())
+    tables.apply(TableAnswer(Table.OPERATOR, (item,), 1, True, 0.0), 0.0)
+    assert list(tables.evacuations.list_out()) == ([domain] if domain else [])
+
+
 @pytest.mark.parametrize("body", REPORTS.values(), ids=REPORTS)
 def test_odd_report_of_an_engine_is_an_error_of_that_request(body):
     engine = make_client(HttpEngine(Clock(), Address("10.0.0.1", 80)), body)
