--- a/src/coltsfootshift/gateway/evacuation_monitor.py
+++ b/src/coltsfootshift/gateway/evacuation_monitor.py
@@ -7,7 +7,7 @@
 
 from coltsfootshift.gateway.exchange import Exchange
 from coltsfootshift.gateway.table_cache import TableCache
-from coltsfootshift.ids import FailureDomain
+from coltsfootshift.ids import FailureDomain, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
 
@@ -38,8 +38,11 @@
         metrics.add_gauge("failure_domains_evacuated", lambda: float(len(self._out)))
         metrics.add_gauge("evacuated_requests_running", self._count_all_requests)
 
-    def update(self) -> tuple[list[FailureDomain], list[FailureDomain]]:
-        """Return the domains that are out, and those that are back, since the last call."""
+    def update(self) -> tuple[set[ServiceName], list[FailureDomain]]:
+        """Note what has changed; return the services with endpoints in domains that are out since.
+
+        The second result are the domains that are back since the last call.
+        """
         out = self._tables.evacuations.list_out()
         begun = [domain for domain in out if domain not in self._out]
         ended = [domain for domain in self._out if domain not in out]
@@ -52,7 +55,8 @@
             state = exchange.attempted
             if state is not None and state.record.failure_domain in begun:
                 exchange.guard(exchange.move_unsent, "the failure domain is evacuated")
-        return begun, ended
+        records = self._tables.endpoints.values()
+        return {record.service for record in records if record.failure_domain in begun}, ended
 
     def _show_begin(self, domain: FailureDomain, since: float) -> None:
         listed = [record.failure_domain for record in self._tables.endpoints.values()]
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -267,10 +267,10 @@
             del self._states[name]
             self._pools.pop(name).close()
         self._by_service = by_service
-        begun, ended = self._evacuation_monitor.update()
+        emptied, ended = self._evacuation_monitor.update()
         self._dispatch_all_queues()
-        if begun:
-            refuse_unserved(self._queues.values(), self._forecast, self.reactor.seconds())
+        queues = [queue for name, queue in self._queues.items() if name in emptied]
+        refuse_unserved(queues, self._forecast, self.reactor.seconds())
         for domain in ended:
             self._evacuation_ended(domain, self.reactor.seconds())
 
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -153,6 +153,8 @@
     running = arrivals.take()
     waiting = harness.gateway._count_waiting()
     assert waiting > 10
+    evacuate(harness, "elsewhere")
+    assert harness.gateway._count_waiting() == waiting
     evacuate(harness, "a")
     refused = [caller for caller in callers if read_status(caller) == 503]
     still_waiting = harness.gateway._count_waiting()
