--- a/src/coltsfootshift/gateway/evacuation_monitor.py
+++ b/src/coltsfootshift/gateway/evacuation_monitor.py
@@ -35,6 +35,7 @@
         self._read_time = read_time
         self._exchanges = exchanges
         self._out: dict[FailureDomain, float] = {}
+        self._lifts: dict[FailureDomain, float] = {}
         metrics.add_gauge("failure_domains_evacuated", lambda: float(len(self._out)))
         metrics.add_gauge("evacuated_requests_running", self._count_all_requests)
 
@@ -44,10 +45,14 @@
         The second result are the domains that are back since the last call.
         """
         out = self._tables.evacuations.list_out()
-        begun = [domain for domain in out if domain not in self._out]
-        ended = [domain for domain in self._out if domain not in out]
+        begun = [domain for domain, since in out.items() if self._out.get(domain) != since]
+        # An evacuation may have begun and ended since the last call.
+        lifts = self._tables.evacuations.list_lifts()
+        ended = [name for name, at in lifts.items() if self._lifts.get(name) != at]
+        ended = [domain for domain in ended if domain not in out]
+        self._lifts = lifts
         for domain in ended:
-            self._show_end(domain, self._out.pop(domain))
+            self._show_end(domain, self._out.pop(domain, lifts[domain]))
         for domain in begun:
             self._out[domain] = out[domain]
             self._show_begin(domain, out[domain])
--- a/src/coltsfootshift/gateway/evacuations.py
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -155,7 +155,10 @@
         """Return the keys and eras of the evacuations that the store has lost and that stand."""
         return {key: held.era for key, held in self._held.items() if held.era < self._era}
 
+    def list_lifts(self) -> dict[FailureDomain, float]:
+        """Return the domains whose evacuation has ended lately, and when it last did."""
+        return {lift.domain: lift.lifted_at for lift in self._lifts.values()}
+
     def lifted_at(self, domain: FailureDomain) -> float | None:
         """Return when the latest evacuation of a domain ended, or None if none is known."""
-        ends = [lift.lifted_at for lift in self._lifts.values() if lift.domain == domain]
-        return max(ends, default=None)
+        return self.list_lifts().get(domain)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -363,28 +363,36 @@
     """The store's history: revisions, eras and the items that evacuate domains."""
 
     def __init__(self):
-        self.era, self.revision, self.items = 1, 1, {}
-        self.copies = [(1, {})]
+        self.era, self.revision, self.items, self.removals = 1, 1, {}, {}
+        self.copies = [(1, {}, {})]
         self.lifted = set()  # in this era
 
     def write(self, domain, out):
         self.revision += 1
         if out:
             self.items[domain] = self.revision
+            self.removals.pop(domain, None)
             self.lifted.discard(domain)
         elif self.items.pop(domain, None):
+            self.removals[domain] = self.revision
             self.lifted.add(domain)
-        self.copies.append((self.revision, dict(self.items)))
+        self.copies.append((self.revision, dict(self.items), dict(self.removals)))
 
     def restore(self, age):
         del self.copies[max(1, len(self.copies) - age) :]
-        self.revision, items = self.copies[-1]
-        self.items, self.era, self.lifted = dict(items), self.era + 1, set()
+        self.revision, items, removals = self.copies[-1]
+        self.items, self.removals = dict(items), dict(removals)
+        self.era, self.lifted = self.era + 1, set()
 
     def list_items(self):
         rows = [(f"evacuate/{name}", revision, b"{}") for name, revision in self.items.items()]
         return [("catalogue", 1, b"7"), *rows]
 
+    def list_changes(self, after):
+        rows = [(f"evacuate/{name}", revision, b"{}") for name, revision in self.items.items()]
+        rows += [(f"evacuate/{name}", revision, None) for name, revision in self.removals.items()]
+        return sorted((row for row in rows if row[1] > after), key=lambda row: row[1])
+
 
 def relay(sender, receiver, now):
     """Let a process take the whole table of another, as peers do."""
@@ -404,6 +412,7 @@
     st.tuples(st.just("write"), domains, st.booleans()),
     st.tuples(st.just("restore"), st.integers(1, 4), st.none()),
     st.tuples(st.just("read"), readers, st.none()),
+    st.tuples(st.just("watch"), readers, st.none()),
     st.tuples(st.just("relay"), readers, readers),
     st.tuples(st.just("start"), readers, st.none()),
     st.tuples(st.just("wait"), st.sampled_from([0.3, 1.0, LATER]), st.none()),
@@ -438,9 +447,13 @@
             caches[value], kept[value] = TableCache(Decoder()), (now, set())
         elif kind == "wait":
             now += value
-        elif kind == "read":
-            rows, position = store.list_items(), (store.era, store.revision)
-            check(value, partial(apply, caches[value], Table.OPERATOR, rows, position, now))
+        elif kind in ("read", "watch"):
+            rows, position, known = store.list_items(), (store.era, store.revision), caches[value]
+            after = known.get_position(Table.OPERATOR)
+            is_whole = kind == "read" or after.era != store.era
+            if not is_whole:
+                rows = store.list_changes(after.revision)
+            check(value, partial(apply, known, Table.OPERATOR, rows, position, now, is_whole))
         else:
             check(other, partial(relay, caches[value], caches[other], now))
         for number in range(PROCESSES):
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -143,6 +143,10 @@
     arrivals = Arrivals(harness)
     assert arrivals.take_receivers() == ["e-1" if port == 80 else "e-0"]
     assert harness.gateway.metrics.get_count("retries_over_budget") == 0
+    caller = harness.send_request(route, request="r-2")
+    evacuate(harness, "a", "b")
+    assert read_status(caller) == 503 and read_retry_after(caller) > 0
+    assert arrivals.take() == []
 
 
 def test_what_waits_goes_elsewhere_or_is_refused_at_once():
@@ -247,6 +251,25 @@
     assert harness.tables.evacuations.lifted_at(FailureDomain("a")) == 0.25
 
 
+@pytest.mark.parametrize("between", [True, False], ids=["refreshed between", "in one answer"])
+def test_end_of_each_evacuation_is_noticed(between, lines):
+    """Endpoints may be cold when their domain is back, however short it was out."""
+    harness = make_harness("a")
+    ended = []
+    harness.gateway._evacuation_ended = lambda domain, now: ended.append((domain, now))
+    for number in range(2):
+        harness.clock.advance(1.0)
+        write(harness.tables, harness.clock.seconds(), "a")
+        if between:
+            harness.gateway.refresh()
+        assert len(ended) == number
+        take_back(harness, "a")
+        harness.gateway.refresh()
+    assert [domain for domain, _ in ended] == ["a", "a"]
+    assert lines().count("failure domain back in service") == 2
+    assert read_gauge(harness, "failure_domains_evacuated") == 0.0
+
+
 def test_evacuation_that_the_store_lost_ends_without_another_answer():
     """Nothing else may tell the entry that the time to write it again is over."""
     harness = make_harness("a", "b")
