--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -50,14 +50,7 @@
     WITHDRAWAL_MARGIN_SECONDS,
     find_first_limit,
 )
-from coltsfootshift.gateway.waiting import (
-    QueuedRequest,
-    ServiceQueue,
-    SlotForecast,
-    Turn,
-    draw_retry_after,
-    refuse_unserved,
-)
+from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, Turn, draw_retry_after
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import Message
@@ -267,12 +260,14 @@
             del self._states[name]
             self._pools.pop(name).close()
         self._by_service = by_service
-        emptied, ended = self._evacuation_monitor.update()
+        now = self.reactor.seconds()
+        ended = self._evacuation_monitor.update(now)
         self._dispatch_all_queues()
-        queues = [queue for name, queue in self._queues.items() if name in emptied]
-        refuse_unserved(queues, self._forecast, self.reactor.seconds())
+        self._evacuation_monitor.refuse_unserved(
+            self._queues, self._list_prospects, self._entry_count, now
+        )
         for domain in ended:
-            self._evacuation_ended(domain, self.reactor.seconds())
+            self._evacuation_ended(domain, now)
 
     def handle_request(self, incoming: IncomingRequest) -> None:
         """Check a request, then place it on an endpoint or queue it, or respond with a refusal."""
@@ -496,10 +491,9 @@
         if changed:
             self.refresh()
 
-    def _forecast(self, exchange: Exchange, now: float) -> SlotForecast | None:
-        """Return when places for a request come free; None if no endpoint will serve it."""
-        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
-        return forecast_slots(states, self._entry_count, now) if states else None
+    def _list_prospects(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        """Return the endpoints that may serve a request, now or once they have loaded."""
+        return self._list_candidates(exchange, now) or self._list_loading(exchange, now)
 
     def _evacuation_ended(self, domain: FailureDomain, now: float) -> None:
         """Use the endpoints of a failure domain again whose evacuation has ended."""
@@ -761,7 +755,7 @@
     def _enqueue(self, exchange: Exchange, now: float, spent_at: float | None = None) -> None:
         admission = exchange.admission
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
-        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+        states = self._list_prospects(exchange, now)
         if not states and self._stop_schedule is not None:
             exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
             return
@@ -924,7 +918,7 @@
                 continue
             if exchange.service.engine is None:
                 continue
-            if not self._list_candidates(exchange, now) and not self._list_loading(exchange, now):
+            if not self._list_prospects(exchange, now):
                 reason = f"no endpoint of version {exchange.version} is left"
                 exchange.refuse(NotRun(reason, retry_after=0.0))
 
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -12,14 +12,7 @@
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = [
-    "QueuedRequest",
-    "ServiceQueue",
-    "SlotForecast",
-    "Turn",
-    "draw_retry_after",
-    "refuse_unserved",
-]
+__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "Turn", "draw_retry_after"]
 
 # Overload lasts longer than one slot takes to become free; an earlier retry would be refused too.
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -152,7 +145,7 @@
         self._heap = kept
 
     def recheck(
-        self, forecast: Callable[[Any, float], SlotForecast | None], now: float
+        self, forecast: Callable[[Any], SlotForecast | None], now: float
     ) -> Iterator[tuple[QueuedRequest, NotRun]]:
         """Remove the requests that will get no place in time; yield them with refusals.
 
@@ -163,7 +156,7 @@
         kept: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
         for row in sorted(row for row in self._heap if row[-1].open):
             request = row[-1]
-            slots = forecast(request.item, now)
+            slots = forecast(request.item)
             wait = inf if slots is None else slots.find_wait(len(kept) + 1)
             if now + wait <= request.latest:
                 kept.append(row)
@@ -197,17 +190,6 @@
         return NotRun(reason, retry_after=draw_retry_after(left, expected_wait, self._rng))
 
 
-def refuse_unserved(
-    queues: Iterable[ServiceQueue],
-    forecast: Callable[[Any, float], SlotForecast | None],
-    now: float,
-) -> None:
-    """Refuse the queued requests that get no place in time now that places have been lost."""
-    for queue in queues:
-        for queued, refusal in list(queue.recheck(forecast, now)):
-            queued.item.guard(queued.item.refuse, refusal)
-
-
 def draw_retry_after(time_left: float, expected_wait: float, rng: Random) -> float:
     """Return after how many seconds a refused caller should retry.
 
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -331,6 +331,6 @@
     for row in rows:
         assert queue.offer(row, plenty, -1.0) is None
     slots = None if rate is None else SlotForecast([(0.0, rate)])
-    refused = list(queue.recheck(lambda item, now: slots, 0.0001))
+    refused = list(queue.recheck(lambda item: slots, 0.0001))
     assert len(refused) == 10 - kept and len(queue) == kept
     assert all(refusal.retry_after > 0 for _, refusal in refused)
