--- a/src/coltsfootshift/gateway/evacuations.py
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -44,13 +44,13 @@
 
     >>> evacuations = Evacuations()
     >>> evacuations.begin_era(era=1, settled_at=3.0)
-    >>> evacuations.record("evacuate/a", FailureDomain("a"), era=1, revision=7, now=5.0)
+    >>> evacuations.record("domain/a", FailureDomain("a"), era=1, revision=7, now=5.0)
     True
     >>> evacuations.begin_era(era=2, settled_at=13.0)
     >>> evacuations.settle(12.9), evacuations.list_out()
     ([], {'a': 5.0})
     >>> evacuations.settle(13.0), evacuations.list_out()
-    (['evacuate/a'], {})
+    (['domain/a'], {})
     """
 
     def __init__(self) -> None:
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -19,6 +19,7 @@
     list_endpoint,
     read_retry_after,
     read_status,
+    remove_endpoint,
     respond,
 )
 
@@ -174,6 +175,16 @@
     assert statuses.count(200) >= len(running) + still_waiting * 0.8
 
 
+def test_evacuation_elsewhere_refuses_nobody_that_waits():
+    """Fewer places for another reason, here a removed endpoint, are no matter of the evacuation."""
+    harness = make_harness("a", "b", seed=3)
+    send_many(harness, 124)
+    remove_endpoint(harness, 0)
+    waiting = harness.gateway._count_waiting()
+    evacuate(harness, "elsewhere")
+    assert harness.gateway._count_waiting() == waiting > 90
+
+
 @pytest.mark.parametrize("engines", [False, True], ids=["plain", "engines"])
 def test_requests_are_refused_at_once_while_all_domains_are_out(engines):
     """Their callers come back when told to; none is denied."""
