--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -36,6 +36,7 @@
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.endpoint_list import EngineStatus
 from coltsfootshift.gateway.endpoint_notices import EndpointNotices
+from coltsfootshift.gateway.evacuation_monitor import EvacuationMonitor
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
 from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules
@@ -166,6 +167,9 @@
         self._exchanges: set[Exchange] = set()
         self._losses: dict[str, _PendingLoss] = {}
         self._notices = EndpointNotices()
+        self._evacuation_monitor = EvacuationMonitor(
+            tables, metrics, reactor.seconds, self._exchanges
+        )
         self._longest_deadlines: dict[str, float] = {}
         self._entry_count = 1
         self._own = InstanceId("")
@@ -252,6 +256,8 @@
             state = self._update_state(name, record, spec)
             if record.leaving or self._notices.is_leaving(record.incarnation):
                 continue
+            if self.tables.evacuations.is_out(record.failure_domain):
+                continue
             # An endpoint that started later at the same address has taken the place of this one,
             # whose record stays until its lease expires.
             if record.born >= latest_starts[record.address]:
@@ -260,7 +266,14 @@
             del self._states[name]
             self._pools.pop(name).close()
         self._by_service = by_service
+        now = self.reactor.seconds()
+        ended = self._evacuation_monitor.update(now)
         self._dispatch_all_queues()
+        self._evacuation_monitor.refuse_unserved(
+            self._queues, self._list_prospects, self._entry_count, now
+        )
+        for domain in ended:
+            self._evacuation_ended(domain, now)
 
     def handle_request(self, incoming: IncomingRequest) -> None:
         """Check a request, then place it on an endpoint or queue it, or respond with a refusal."""
@@ -490,6 +503,15 @@
         if changed:
             self.refresh()
 
+    def _list_prospects(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        """Return the endpoints that may serve a request, now or once they have loaded."""
+        return self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+
+    def _evacuation_ended(self, domain: FailureDomain, now: float) -> None:
+        """Use the endpoints of a failure domain again whose evacuation has ended."""
+        states = [s for s in self._states.values() if s.record.failure_domain == domain]
+        logger.info("endpoints used again", extra={"domain": domain, "endpoints": len(states)})
+
     def _judge_loss(self, name: str) -> None:
         """Record the end of an endpoint that has closed all of this entry's connections."""
         loss = self._losses.pop(name)
@@ -748,7 +770,7 @@
     def _enqueue(self, exchange: Exchange, now: float, spent_at: float | None = None) -> None:
         admission = exchange.admission
         queue = self._queues.setdefault(exchange.service.name, ServiceQueue(self._rng))
-        states = self._list_candidates(exchange, now) or self._list_loading(exchange, now)
+        states = self._list_prospects(exchange, now)
         if not states and self._stop_schedule is not None:
             exchange.refuse(NotRun(LEAVING_REASON, retry_after=0.0))
             return
@@ -915,7 +937,7 @@
                 continue
             if exchange.service.engine is None:
                 continue
-            if not self._list_candidates(exchange, now) and not self._list_loading(exchange, now):
+            if not self._list_prospects(exchange, now):
                 reason = f"no endpoint of version {exchange.version} is left"
                 exchange.refuse(NotRun(reason, retry_after=0.0))
 
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import IntEnum
+from math import inf
 from random import Random
 from typing import Any
 
@@ -152,6 +153,28 @@
         heapq.heapify(kept)
         self._heap = kept
 
+    def recheck(
+        self, forecast: Callable[[Any], SlotForecast | None], now: float
+    ) -> Iterator[tuple[QueuedRequest, NotRun]]:
+        """Remove the requests that will get no place in time; yield them with refusals.
+
+        Load pattern: a failure domain is emptied at a moment of full load, so that far more waits
+        than the other endpoints take in time. `forecast` returns when places for an item come free,
+        or None if there will be none.
+        """
+        kept: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
+        for row in sorted(row for row in self._heap if row[-1].open):
+            request = row[-1]
+            slots = forecast(request.item)
+            wait = inf if slots is None else slots.find_wait(len(kept) + 1)
+            if now + wait <= request.latest:
+                kept.append(row)
+                continue
+            request.open = False
+            reason = f"places were lost: {len(kept)} ahead, a place in {wait:.3f} s"
+            yield request, self._make_refusal(reason, request, wait, now)
+        self._heap = kept
+
     def peek(
         self,
         after: QueuedRequest | None = None,
