Kept connections no longer hold the body of the request that they were dialled for

Cause: the connector of a connection refers to its dialler, that to the request that it dialled for, with its body, and through its receiver to the exchange, with the body again. So each kept connection to an endpoint, and each kept connection of a caller through its latest exchange, held the first or last body for as long as it was open, counted for nothing. The request drops its body once it is sent or cancelled, the exchange when it ends.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -704,6 +704,7 @@
         if self.ended:
             return
         self.ended = True
+        self.admission.body = b""  # connections that are kept may refer to this exchange for long
         self._attempt = None
         self._held.discard()
         self._held.release_unsent()
--- a/src/coltsfootshift/gateway/links.py
+++ b/src/coltsfootshift/gateway/links.py
@@ -417,7 +417,11 @@
 
 
 class _OutboundRequest:
-    """A request to an endpoint that waits for a connection or has been sent on one."""
+    """A request to an endpoint that waits for a connection or has been sent on one.
+
+    Its body is dropped then: the connection that was dialled for it keeps this object for as long
+    as it is open.
+    """
 
     def __init__(
         self,
@@ -449,12 +453,14 @@
         connection.send(
             self.method, self.target, self.headers, self.body, self.request, self.receiver
         )
+        self.body = b""
 
     def cancel(self) -> None:
         """Cancel the request by aborting its connection or the dialling; idempotent."""
         if self.cancelled:
             return
         self.cancelled = True
+        self.body = b""
         if self.connection is not None:
             self.connection.cancel()
         elif self.connector is not None:
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import tracemalloc
+
 import pytest
 from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
 from test_gateway_answers import read_status
@@ -171,6 +173,22 @@
     assert harness.factory._bodies.size == 0
 
 
+def test_kept_connections_hold_no_body_of_an_earlier_request():
+    """Each kept the body of the request that it was dialled for, counted for no request."""
+    harness = GatewayHarness(endpoints=1)
+    tracemalloc.start()
+    try:
+        for number in range(20):
+            harness.send_request("book", request=f"r-{number}", body=bytes(LONG_BYTES))
+            endpoint = harness.accept()
+            endpoint.protocol.dataReceived(make_response(b"ok", request=f"r-{number}"))
+            assert endpoint.protocol.usable
+            endpoint.clear()
+        assert tracemalloc.get_traced_memory()[0] < 3 * LONG_BYTES
+    finally:
+        tracemalloc.stop()
+
+
 def test_body_counts_while_its_endpoint_reads_it_slowly():
     harness = GatewayHarness(endpoints=1)
     caller = harness.send_request("book", body=bytes(40_000))
