Ages of rows survive odd transit times; only a response that has begun can be left unread

A transit time that is not finite failed the message that told of entries. An endpoint that ended before it answered a resumed stream was excused while the caller was slow, and an attempt that was never sent could have counted as run.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -460,6 +460,8 @@
 
     def _was_left_unread(self, attempt: _Attempt) -> bool:
         """Return whether the endpoint may have cut off the response since its caller was slow."""
+        if attempt.head is None:
+            return False
         unread = attempt.unread_seconds
         if self._blocked:
             since = max(self._blocked_at, attempt.sent_at)
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -353,7 +353,7 @@
         now = self._context.reactor.seconds()
         return EntryList(rows, self._roster.measure_ages(rows, now))
 
-    def _merge_roster(self, rows: list[EntryRow], ages_ms: list[int]) -> None:
+    def _merge_roster(self, rows: list[EntryRow], ages_ms: list[float]) -> None:
         changed = self._roster.merge(rows, self._context.reactor.seconds(), ages_ms)
         if not changed:
             return
@@ -711,13 +711,13 @@
     return Address(host, int(port))
 
 
-def _age_relayed(message: EntryList, stream: PeerStream) -> list[int]:
+def _age_relayed(message: EntryList, stream: PeerStream) -> list[float]:
     """Return the ages of a list's rows; what others have said waited as long as the message did."""
-    transit_ms = int(stream.transit_delay * MILLISECONDS_PER_SECOND)
-    ages = []
+    transit_ms = max(0.0, stream.transit_delay * MILLISECONDS_PER_SECOND)
+    ages: list[float] = []
     for index, row in enumerate(message.rows):
         age = message.ages_ms[index] if index < len(message.ages_ms) else 0
-        ages.append(age if row.instance == stream.peer_id else age + max(0, transit_ms))
+        ages.append(age if row.instance == stream.peer_id else age + transit_ms)
     return ages
 
 
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -71,7 +71,7 @@
         return f"Roster({sorted(self._rows)})"
 
     def merge(
-        self, rows: Iterable[EntryRow], now: float, ages_ms: Sequence[int] = ()
+        self, rows: Iterable[EntryRow], now: float, ages_ms: Sequence[float] = ()
     ) -> list[EntryRow]:
         """Merge rows received from a peer; return those that are new or have changed.
 
--- a/tests/test_directory_rows.py
+++ b/tests/test_directory_rows.py
@@ -249,6 +249,26 @@
         assert process.list_named() == set(fleet.running)
 
 
+@pytest.mark.parametrize(
+    "teller, transit, named",
+    [
+        ("entry-9", 0.0, True),
+        ("entry-9", 1.0, True),
+        ("entry-9", 9.0, False),
+        ("entry-9", float("inf"), False),
+        ("entry-9", float("nan"), True),
+        ("x", 9.0, True),
+    ],
+)
+def test_what_others_say_ages_on_its_way(teller, transit, named):
+    """What an entry says of itself does not: it lives, however slow its link is."""
+    process = Process(1, 0.0)
+    stream = Stream(peer_id=teller)
+    stream.transit_delay = transit
+    process.fleet.stream_received(stream, EntryList([make_row(1)]))
+    assert any(row.instance == "x" for row in process.roster.list_rows()) == named
+
+
 def make_row(sequence=1, leaving=False):
     return EntryRow("x", sequence, "10.0.0.1", 1, 2, "north", "a", True, leaving)
 
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -267,6 +267,19 @@
     assert [caller.value().count(make_event(number)) for number in range(1, 5)] == [1] * 4
 
 
+def test_endpoint_that_ends_before_it_answers_is_judged_while_its_caller_is_slow():
+    """Nothing of a response to the resumed stream had come that could be left unread."""
+    harness = GatewayHarness(endpoints=2)
+    _, endpoint = leave_unread(harness, "talk", CHUNKED, 2 * UNREAD_SECONDS)
+    endpoint.disconnect(ConnectionLost())
+    following = harness.accept()
+    harness.clock.advance(1.5 * UNREAD_SECONDS)
+    following.disconnect(ConnectionLost())
+    states = harness.gateway._states.values()
+    assert sorted(state.ejected for state in states) == [False, True]
+    assert harness.gateway.metrics.get_count("answers_cut_unread") == 1
+
+
 @pytest.mark.parametrize("route", ["once", "book"])
 def test_response_without_length_that_was_read_in_time_ends_with_its_connection(route):
     harness = GatewayHarness(endpoints=1)
