--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -470,6 +470,8 @@
 
     def _was_left_unread(self, attempt: _Attempt) -> bool:
         """Return whether the endpoint may have cut off the response since its caller was slow."""
+        if attempt.head is None:
+            return False
         unread = attempt.unread_seconds
         if self._blocked:
             since = max(self._blocked_at, attempt.sent_at)
@@ -714,6 +716,7 @@
         if self.ended:
             return
         self.ended = True
+        self.admission.body = b""  # connections that are kept may refer to this exchange for long
         self._attempt = None
         self._held.discard()
         self._held.release_unsent()
