Keep cold endpoints to the rate that they take

An endpoint that has just started or come back crashes at the rate of a warm one, and entries that restart with it know nobody to share its rate with. What is not known to be warm is cold now; the entries divide its rate as they divide the limits that endpoints name, remember those that fall silent, and send little until they know the others.

--- a/src/coltsfootshift/gateway/endpoint_limits.py
+++ b/src/coltsfootshift/gateway/endpoint_limits.py
@@ -1,16 +1,28 @@
-"""Limits that endpoints name in their responses, and this entry's share of them."""
+"""Limits of endpoints, named in their responses or while they are cold, and this entry's share."""
 
 from __future__ import annotations
 
+import hashlib
 from collections import OrderedDict
 from collections.abc import Sequence
 from dataclasses import dataclass
+from functools import lru_cache
 from math import ceil
 
 from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.ids import InstanceId
 
-__all__ = ["EndpointLimits", "NamedLimit", "RateShare", "compute_share"]
+__all__ = [
+    "ColdPlan",
+    "EndpointLimits",
+    "NamedLimit",
+    "RateShare",
+    "compute_cold_share",
+    "compute_share",
+    "compute_unsettled_share",
+    "draw_phase",
+    "plan_cold_shares",
+]
 
 # A limited endpoint is asked at least this often, in requests a second, in case it names its limit
 # no longer.
@@ -19,6 +31,21 @@
 CONFIRM_SECONDS = 3.0  # peers are told of an unchanged limit this often, so that it stays valid
 BURST_REQUESTS = 1.5
 MAX_LIMITS = 8192
+# A request leaves up to this much later than it is counted: a dial, or a busy process.
+DELIVERY_SECONDS = 0.2
+# Part of the bound of a cold endpoint that is left to entries of which the others don't know yet.
+RESERVED_SHARE = 0.2
+# With more senders each sends more rarely. They may cost this part of the rate, not more.
+MIN_PLANNED_RATIO = 0.95
+# Spacings are that much longer than what just breaks the bound, against rounding.
+SPACING_MARGIN = 1.001
+# Entries that an entry assumes as long as it can't know them: the largest fleet in view.
+ASSUMED_ENTRIES = 64
+# Part of the bound that these use on average. Their phases are random: three times the average
+# in the same second does not occur in the life of a fleet.
+UNSETTLED_SHARE = 1 / 3
+COLD_BURST_REQUESTS = 1.0
+PHASE_BYTES = 6
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,7 +133,8 @@
     """Spaces this entry's requests to an endpoint at `rate` requests a second.
 
     The first request is allowed after the interval, since others may have been sent just before
-    the limit became known.
+    the limit became known. It is allowed sooner by the part of the interval that `tokens` states.
+    After a pause, up to `burst` requests may follow each other at once.
 
     >>> share = RateShare(2.0, now=0.0)
     >>> share.has_room(0.0), share.has_room(0.5)
@@ -116,9 +144,12 @@
     False
     """
 
-    def __init__(self, rate: float, now: float) -> None:
+    def __init__(
+        self, rate: float, now: float, burst: float = BURST_REQUESTS, tokens: float = 0.0
+    ) -> None:
         self._rate = rate
-        self._tokens = 0.0
+        self._burst = burst
+        self._tokens = tokens
         self._filled_at = now
 
     def __repr__(self) -> str:
@@ -134,14 +165,16 @@
         self._fill(now)
         self._tokens -= 1.0
 
-    def set_rate(self, rate: float, now: float) -> None:
-        """Change the rate from now on."""
+    def set_rate(self, rate: float, now: float, burst: float = BURST_REQUESTS) -> None:
+        """Change the rate and the burst from now on."""
         self._fill(now)
         self._rate = rate
+        self._burst = burst
+        self._tokens = min(burst, self._tokens)
 
     def _fill(self, now: float) -> None:
         elapsed = max(0.0, now - self._filled_at)
-        self._tokens = min(BURST_REQUESTS, self._tokens + elapsed * self._rate)
+        self._tokens = min(self._burst, self._tokens + elapsed * self._rate)
         self._filled_at = max(self._filled_at, now)
 
 
@@ -160,3 +193,69 @@
     if own not in senders:
         return 0.0
     return rate / len(senders)
+
+
+@dataclass(frozen=True, slots=True)
+class ColdPlan:
+    """How many entries send to a cold endpoint, each at most once in `interval` seconds."""
+
+    senders: int
+    interval: float
+
+
+@lru_cache(maxsize=1024)
+def plan_cold_shares(rate: float, bound: float, entry_count: int) -> ColdPlan:
+    """Return how `entry_count` entries share what a cold endpoint takes.
+
+    It takes `rate` requests a second on average and `bound` in any one second. Load pattern: each
+    entry has work for the endpoint at all times and none knows when the others send. In one second
+    a sender sends up to one request more than fits by the interval, so that many senders reach the
+    bound at a low rate. The largest number is chosen that hardly lowers it, since an entry that is
+    no sender has to do without the endpoint.
+
+    >>> plan = plan_cold_shares(17.0, 30.5, 60)
+    >>> plan.senders, round(plan.interval, 2)
+    (24, 1.41)
+    """
+    usable = (1.0 - RESERVED_SHARE) * bound
+    plans = []
+    for senders in range(1, max(1, min(entry_count, int(usable))) + 1):
+        most = max(1, int(usable / senders))
+        span = SPACING_MARGIN * (1.0 + DELIVERY_SECONDS) / most
+        plans.append(ColdPlan(senders, max(senders / rate, span)))
+    best = max(plan.senders / plan.interval for plan in plans)
+    good = [p for p in plans if p.senders / p.interval >= MIN_PLANNED_RATIO * best]
+    return good[-1]
+
+
+def compute_cold_share(
+    rate: float, bound: float, endpoint: str, own: str, entries: Sequence[str]
+) -> float:
+    """Return how many requests a second this entry may send to a cold endpoint.
+
+    All entries that know the same ones derive the same senders.
+    """
+    plan = plan_cold_shares(rate, bound, len(entries))
+    if own not in rank_by_hash(endpoint, list(entries))[: plan.senders]:
+        return 0.0
+    return 1.0 / plan.interval
+
+
+def compute_unsettled_share(rate: float, bound: float) -> float:
+    """Return how many requests a second an entry may send that can't know the others.
+
+    >>> round(1 / compute_unsettled_share(17.0, 30.5), 1)
+    7.6
+    """
+    average = min(rate, UNSETTLED_SHARE * bound / (1.0 + DELIVERY_SECONDS))
+    return average / ASSUMED_ENTRIES
+
+
+def draw_phase(own: str, endpoint: str) -> float:
+    """Return a number from 0 to 1 that differs between entries, the same at each call.
+
+    >>> 0.0 <= draw_phase("a", "e-1") < 1.0
+    True
+    """
+    digest = hashlib.blake2b(f"{own}/{endpoint}".encode(), digest_size=PHASE_BYTES).digest()
+    return int.from_bytes(digest, "big") / 256.0**PHASE_BYTES
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -15,6 +15,7 @@
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
+from coltsfootshift.gateway.entry_view import EntryView, SeedContact
 from coltsfootshift.gateway.fleet import make_entry_row
 from coltsfootshift.gateway.nodes import (
     DRAIN_CHECK_INTERVAL_SECONDS,
@@ -34,7 +35,7 @@
 )
 from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
-from coltsfootshift.messages import EngineNotice, Message
+from coltsfootshift.messages import ColdReport, EngineNotice, EntryRow, Message
 from coltsfootshift.settings import Address
 
 __all__ = ["GatewayEntry", "TableSource"]
@@ -95,6 +96,9 @@
             regions,
         )
         self.gateway.notify_peers = self.fleet.notify_peers
+        self.gateway.cold.notify_peers = self.fleet.notify_peers
+        self.gateway.cold.read_entries = self._read_entries
+        self.gateway.cold.view = EntryView(config.instance, reactor.seconds())
         self._started_at = reactor.seconds()
         self._store_seconds = inf
         self._callers = callers
@@ -197,6 +201,8 @@
 
     def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
         """Merge what a peer knows of endpoints, and act on it."""
+        if isinstance(message, ColdReport):
+            return BeliefAnswer(self.gateway.cold.receive(message, self.reactor.seconds()))
         answer = super().belief_received(message, peer)
         if answer.relay is not None:
             self.gateway.apply_limits()
@@ -253,6 +259,17 @@
         self._caller_factory.close_idle()
         self._closed_idle_at = self.reactor.seconds()
 
+    def _read_entries(self) -> tuple[list[EntryRow], SeedContact]:
+        """Return the live entries and the contact with the seeds; announce what this one knows."""
+        own, view = self.roster.own, self.gateway.cold.view
+        assert own is not None
+        count = view.live_count if view.settled else 0
+        if own.settled_count != count:
+            self.roster.own = msgspec.structs.replace(own, settled_count=count)
+            if not own.settled_count or not count:
+                self.fleet.announce()
+        return self.roster.list_rows(), self.fleet.find_seed_contact()
+
     def _publish_readiness(self) -> None:
         own = self.roster.own
         assert own is not None
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -12,6 +12,7 @@
 
 from coltsfootshift.controllers.contacts import ContactChooser, Preference
 from coltsfootshift.gateway.beliefs import BeliefAnswer
+from coltsfootshift.gateway.entry_view import SeedContact
 from coltsfootshift.gateway.item_values import (
     EncodedValue,
     UndecodableValueError,
@@ -29,6 +30,7 @@
 from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
+    ColdReport,
     EndpointLimitReport,
     EngineNotice,
     EntryList,
@@ -172,6 +174,14 @@
         self._seeds = seeds
         self._choose_peers()
 
+    def find_seed_contact(self) -> SeedContact:
+        """Return how many of the seeds are live entries, this one included."""
+        known = {Address(row.host, row.peer_port) for row in self._roster.list_rows()}
+        missing = sum(seed not in known for seed in self._seeds)
+        if not missing:
+            return SeedContact.ALL
+        return SeedContact.MOST if 2 * missing < len(self._seeds) else SeedContact.FEW
+
     def list_entries(self) -> EntryList:
         """Return the known entries, for a process that has no connection to any."""
         return EntryList(self._roster.list_rows())
@@ -267,7 +277,7 @@
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
             self._observer.engine_status_received(message, stream.transit_delay)
-        elif isinstance(message, (SuspicionReport, EndpointLimitReport)):
+        elif isinstance(message, (SuspicionReport, EndpointLimitReport, ColdReport)):
             self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
@@ -280,6 +290,8 @@
         """Merge a report and pass on what was news: not all processes are connected."""
         if isinstance(message, EndpointLimitReport):
             message = _add_transit(message, stream.transit_delay)
+        elif isinstance(message, ColdReport):
+            message = _take_transit(message, stream.transit_delay)
         answer = self._observer.belief_received(message, stream.peer_id)
         if answer.reply is not None:
             stream.send(answer.reply)
@@ -712,6 +724,12 @@
     return msgspec.structs.replace(report, rows=rows)
 
 
+def _take_transit(report: ColdReport, seconds: float) -> ColdReport:
+    """Return a report whose remaining times are less by how long it was on its way."""
+    rows = [msgspec.structs.replace(r, seconds=max(0.0, r.seconds - seconds)) for r in report.rows]
+    return msgspec.structs.replace(report, rows=rows)
+
+
 def make_entry_row(
     instance: InstanceId,
     started_ms: int,
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -38,7 +38,7 @@
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.logs import get_logger, set_up_bounded_logs
 from coltsfootshift.loop import end_process
-from coltsfootshift.messages import EngineNotice, Hello, Message
+from coltsfootshift.messages import ColdReport, EngineNotice, Hello, Message
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import EXIT_CANNOT_LISTEN, Address, StreamTiming
 from coltsfootshift.streams import StreamContext, StreamListener
@@ -210,7 +210,9 @@
         return self.beliefs.list_messages(self.reactor.seconds())
 
     def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
-        """Merge what a peer knows of endpoints."""
+        """Merge what a peer knows of endpoints; only entries place requests on cold ones."""
+        if isinstance(message, ColdReport):
+            return BeliefAnswer()
         return self.beliefs.receive(message, peer, self.reactor.seconds())
 
     @abstractmethod
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -8,12 +8,12 @@
 from random import Random
 
 from coltsfootshift.gateway.calls import EndpointLoadReport
-from coltsfootshift.gateway.endpoint_limits import RateShare
+from coltsfootshift.gateway.endpoint_limits import BURST_REQUESTS, RateShare
 from coltsfootshift.gateway.model import EndpointRecord, EngineSpec
 from coltsfootshift.gateway.waiting import SlotForecast
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId
 
-__all__ = ["EndpointState", "Placement", "WorkSize", "forecast_slots"]
+__all__ = ["ColdShare", "EndpointState", "Placement", "WorkSize", "forecast_slots"]
 
 # Under overload, a half-life of 1 s lets every entry overfill the endpoints.
 OTHERS_LOAD_HALF_LIFE_SECONDS = 20.0
@@ -30,6 +30,10 @@
 SILENCE_PENALTY_SECONDS = 1.5
 MAX_SILENCE_SECONDS = 1.75  # of a sound endpoint, with some scheduler passes to go on
 SUSPICION_SECONDS = 0.1  # outlasts some ticks, each of which renews it while the silence lasts
+# A less urgent request goes to a warm endpoint if it begins at most so much later: half of the
+# shortest latency objective of streams leaves it in time, and a place to an urgent request.
+COLD_RESERVE_SECONDS = 0.2
+MOST_URGENT = 0  # of priorities
 JITTER_SECONDS = 0.01  # keeps entries with the same estimates from choosing the same endpoint
 # A plain service uses little of the latency objective, so as many requests may queue at an endpoint
 # as it processes at once.
@@ -47,6 +51,20 @@
     answer: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class ColdShare:
+    """What a cold endpoint takes of all entries and of this one, in requests a second.
+
+    `burst` is how many requests this entry may send at once, and `phase` the part of the interval
+    between two of them after which the first may be sent.
+    """
+
+    limit: float
+    share: float
+    burst: float
+    phase: float = 1.0
+
+
 @dataclass(slots=True)
 class _InFlightAttempt:
     size: WorkSize
@@ -74,6 +92,7 @@
         self.record = record
         self.spec = spec
         self.rate_limit: float | None = None
+        self.cold = False
         self._rate_share: RateShare | None = None
         self.failure_rate = 0.0
         self.backoff_until = 0.0
@@ -85,6 +104,8 @@
         self._rng = rng
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._ejected_at = -inf
+        self._silent_since: float | None = None
+        self._own_part = 1.0
         self._probing = False
         self._work_seconds = PLAIN_WORK_SECONDS
 
@@ -111,15 +132,27 @@
         """The measured mean time of a request at a plain service, in seconds."""
         return self._work_seconds
 
-    def limit_rate(self, limit: float | None, share: float, now: float) -> None:
-        """Set the limit for all entries and this entry's share, in requests a second."""
+    def limit_rate(
+        self, limit: float | None, share: float, now: float, cold: ColdShare | None = None
+    ) -> None:
+        """Set the limit for all entries and this entry's share, in requests a second.
+
+        If the endpoint is cold, the lower of both limits and of both shares applies.
+        """
+        burst, tokens = BURST_REQUESTS, 0.0
+        self.cold = cold is not None
+        if cold is not None:
+            share = cold.share if limit is None else min(share, cold.share)
+            limit = cold.limit if limit is None else min(limit, cold.limit)
+            burst, tokens = cold.burst, 1.0 - cold.phase
         self.rate_limit = limit
+        self._own_part = share / limit if limit else 0.0
         if limit is None:
             self._rate_share = None
         elif self._rate_share is None:
-            self._rate_share = RateShare(share, now)
+            self._rate_share = RateShare(share, now, burst, tokens)
         else:
-            self._rate_share.set_rate(share, now)
+            self._rate_share.set_rate(share, now, burst)
 
     def compute_departure_rate(self) -> float:
         """Return how many requests a second the endpoint completes for all entries, when busy."""
@@ -129,6 +162,14 @@
             rate = self.slots / max(0.001, self._work_seconds)
         return rate if self.rate_limit is None else min(rate, self.rate_limit)
 
+    def compute_own_rate(self, entry_count: int) -> float:
+        """Return how many requests a second the endpoint completes for this one of the entries.
+
+        A cold endpoint has places for some of the entries only.
+        """
+        rate = self.compute_departure_rate()
+        return rate * self._own_part if self.cold else rate / entry_count
+
     def estimate_load(self, now: float) -> float:
         """Return the estimated number of requests at the endpoint, of all entries."""
         age = now - self._reported_at
@@ -204,6 +245,7 @@
     def record_progress(self) -> None:
         """Record that the endpoint goes on with a response; it ends probing."""
         self._probing = False
+        self._silent_since = None
 
     def record_success(self, request: RequestId, now: float) -> None:
         """Record a successful response; it resets the backoff."""
@@ -213,6 +255,7 @@
             self._work_seconds += PLAIN_WORK_EMA_WEIGHT * (elapsed - self._work_seconds)
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._probing = False
+        self._silent_since = None
         self.failure_rate -= FAILURE_EMA_WEIGHT * self.failure_rate
 
     def record_cancelled(self, request: RequestId) -> None:
@@ -241,6 +284,7 @@
             self.backoff_until = 0.0
             self._backoff_seconds = INITIAL_BACKOFF_SECONDS
             self._probing = False
+            self._silent_since = None
         self.record = record
 
     def record_failure(self, request: RequestId, now: float) -> None:
@@ -281,8 +325,14 @@
         if since <= self._ejected_at:
             return
         self._raise_failure_rate()
+        if self._silent_since is None:
+            self._silent_since = since
         self._eject(now)
 
+    def measure_silence(self, now: float) -> float:
+        """Return for how many seconds an ejected endpoint has been silent, 0 if it is not."""
+        return 0.0 if self._silent_since is None else now - self._silent_since
+
     def _eject(self, now: float) -> None:
         self._ejected_at = now
         self._probing = True
@@ -317,7 +367,7 @@
     """Return when slots of the endpoints are expected to become free for one of the entries."""
     rows = []
     for state in states:
-        rate = state.compute_departure_rate() / entry_count
+        rate = state.compute_own_rate(entry_count)
         rows.append((max(0.0, state.paused_until - now), rate))
     return SlotForecast(rows, MIN_DEPARTURE_RATE / entry_count)
 
@@ -342,10 +392,13 @@
         tried: Collection[InstanceId],
         late: bool,
         now: float,
+        priority: int = MOST_URGENT,
     ) -> EndpointState | None:
         """Return the endpoint to send the request to, or None if none has capacity.
 
-        Endpoints in `tried` are excluded.
+        Endpoints in `tried` are excluded. Load pattern: some endpoints are cold and take few
+        requests, while the warm ones fill. Their places are left to the most urgent requests,
+        which begin there at once.
         """
         best: EndpointState | None = None
         best_cost = 0.0
@@ -356,6 +409,8 @@
             cost += state.failure_rate * FAILURE_PENALTY_SECONDS
             if state.is_suspected(now):
                 cost += SILENCE_PENALTY_SECONDS
+            if state.cold and priority > MOST_URGENT:
+                cost += COLD_RESERVE_SECONDS
             if state.record.failure_domain != self._domain:
                 cost += REMOTE_PENALTY_SECONDS
             if best is None or cost < best_cost:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -32,6 +32,7 @@
     LimitCheck,
     RouteCheck,
 )
+from coltsfootshift.gateway.cold_guard import ColdGuard
 from coltsfootshift.gateway.crashes import Suspect
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.endpoint_list import EngineStatus
@@ -158,6 +159,8 @@
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window, reactor.seconds()
         )
         self._states: dict[InstanceId, EndpointState] = {}
+        excess = (bounds.cold_excess, bounds.cold_allowance)
+        self.cold = ColdGuard(*excess, self._states, metrics, reactor.seconds())
         self._pools: dict[InstanceId, ConnectionPool] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._queues: dict[ServiceName, ServiceQueue] = {}
@@ -260,6 +263,8 @@
         """Check a request, then place it on an endpoint or queue it, or respond with a refusal."""
         now = self.reactor.seconds()
         self.metrics.count("calls")
+        if self.cold.check(now):
+            self.apply_limits()
         try:
             head = self._dialect.parse_request(incoming.method, incoming.target, incoming.headers)
         except RequestError as error:
@@ -394,6 +399,7 @@
         """Keep requests from an endpoint that leaves, or that wants none for a while."""
         now = self.reactor.seconds()
         name, service = state.record.incarnation, state.record.service
+        self.cold.record_word(state.record, head.cold_for, now)
         if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
             self._notices.record_pause(name, head.request, now + head.retry_after, now)
             current = self._states.get(state.record.endpoint)  # the record may have been replaced
@@ -501,12 +507,13 @@
 
     def _apply_limit(self, state: EndpointState, now: float) -> None:
         limit = self.beliefs.limits.get_rate(state.record.incarnation)
-        if limit is None and state.rate_limit is None:
+        cold = self.cold.find_share(state.record, now)
+        if limit is None and state.rate_limit is None and cold is None:
             return
         share = 0.0
         if limit is not None:
             share = compute_share(limit, state.record.endpoint, self._own, self._entries)
-        state.limit_rate(limit, share, now)
+        state.limit_rate(limit, share, now, cold)
 
     def _answer_unfinished(self) -> None:
         """End the requests without a response; responses that have begun may still complete."""
@@ -523,15 +530,19 @@
         ):
             self._pools.pop(name).close()
             state = None
+        now = self.reactor.seconds()
+        turned_cold = self.cold.record_endpoint(record, spec, state is None, now)
         if state is None:
             state = EndpointState(record, spec.engine, self._rng)
             self._states[name] = state
             state.paused_until = self._notices.get_pause_end(record.incarnation)
-            self._apply_limit(state, self.reactor.seconds())
+            self._apply_limit(state, now)
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
             )
         state.update_record(record)
+        if turned_cold:
+            self._apply_limit(state, now)
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entry_count)
         self._pools[name].max_open = max(1, share)
@@ -645,7 +656,8 @@
     ) -> EndpointState | None:
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
         late = self._is_likely_retry(exchange) and self._find_turn(exchange) is not Turn.INTERRUPTED
-        return self._placement.choose(open_states, exchange.size, avoided, late, now)
+        priority = exchange.admission.priority
+        return self._placement.choose(open_states, exchange.size, avoided, late, now, priority)
 
     def _try_spend(self, exchange: Exchange, now: float) -> bool:
         """Take a retry from the budget; others leave some of it to those with a claim."""
@@ -695,6 +707,7 @@
             version=exchange.version or (served if min_version else None),
             resume_after=exchange.resume_after,
         )
+        self.cold.count_sent(state)
         head, body = admission.head, exchange.incoming.body
         headers = self._dialect.build_attempt_headers(head, terms, len(body))
         logger.info(
@@ -742,6 +755,7 @@
             retry_after = draw_retry_after(left, float("inf"), self._rng)
             exchange.refuse(NotRun("no endpoint serves the request", retry_after=retry_after))
             return
+        self.cold.count_put_off(states)
         queued = QueuedRequest(
             exchange,
             admission.priority,
@@ -851,7 +865,7 @@
             self._pools_checked_at = now
             for pool in self._pools.values():
                 pool.close_expired(now)
-        if self.beliefs.limits.remove_expired(now):
+        if self.cold.check(now) or self.beliefs.limits.remove_expired(now):
             self.apply_limits()
         if self.tables.remove_expired(now):
             self.refresh()
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -22,6 +22,8 @@
 )
 from coltsfootshift.messages.gateway import (
     ChunkDigests,
+    ColdReport,
+    ColdRow,
     CrashRow,
     EndpointLimitReport,
     EndpointLimitRow,
@@ -90,6 +92,8 @@
     "Credit",
     "Difference",
     "ChunkDigests",
+    "ColdReport",
+    "ColdRow",
     "CrashRow",
     "EndpointLimitReport",
     "EndpointLimitRow",
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -10,6 +10,8 @@
 
 __all__ = [
     "ChunkDigests",
+    "ColdReport",
+    "ColdRow",
     "CrashRow",
     "EndpointLimitReport",
     "EndpointLimitRow",
@@ -36,7 +38,9 @@
     """State of an entry as it announces itself; `sequence` rises with each change and start.
 
     `store_ms` is the shortest time in which the store has answered it, in milliseconds; None if
-    the store does not answer it, or has not yet.
+    the store does not answer it, or has not yet. `settled_count` is the number of live entries that
+    it knows, itself included, once it knows all of them; 0 until then, and in rows of earlier
+    builds.
     """
 
     instance: Name
@@ -49,6 +53,7 @@
     ready: bool
     leaving: bool
     store_ms: Age | None = None
+    settled_count: WholeNumber = 0
 
 
 class EntryList(Message, frozen=True, array_like=True, tag="g-roster"):
@@ -215,6 +220,20 @@
     sent_at: float
 
 
+class ColdRow(msgspec.Struct, frozen=True, array_like=True):
+    """An incarnation of an endpoint that may be cold for so many seconds from now on."""
+
+    endpoint: Name
+    seconds: Age
+
+
+class ColdReport(Message, frozen=True, array_like=True, tag="g-cold"):
+    """The endpoints that the sender has found silent; they may come back cold."""
+
+    rows: list[ColdRow]
+    sent_at: float
+
+
 class ChunkDigests(Message, frozen=True, array_like=True, tag="g-digests"):
     """The SHA-256 digests of a version's chunks, in order, as obtained from the origin."""
 
--- /dev/null
+++ b/tests/test_gateway_coldness.py
@@ -0,0 +1,290 @@
+"""Cold endpoints: what is believed of them, who may send to them, and how much in one second."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from random import Random
+
+import pytest
+
+from coltsfootshift.codec import decode_message, encode_message
+from coltsfootshift.gateway.cold_guard import MIN_SILENCE_SECONDS, ColdGuard
+from coltsfootshift.gateway.coldness import MARGIN_SECONDS, ColdCause, Coldness
+from coltsfootshift.gateway.endpoint_limits import (
+    DELIVERY_SECONDS,
+    compute_cold_share,
+    plan_cold_shares,
+)
+from coltsfootshift.gateway.entry_view import (
+    LATE_SEED_SECONDS,
+    LONG_MEMORY_SECONDS,
+    MEMORY_SECONDS,
+    SETTLE_SECONDS,
+    EntryView,
+    SeedContact,
+)
+from coltsfootshift.gateway.model import EndpointRecord, ServiceSpec
+from coltsfootshift.gateway.placement import (
+    ColdShare,
+    EndpointState,
+    Placement,
+    WorkSize,
+    forecast_slots,
+)
+from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
+from coltsfootshift.messages import ColdReport, ColdRow, EntryRow
+from coltsfootshift.metrics import Metrics
+from coltsfootshift.settings import Address
+
+RATE, EXCESS, ALLOWANCE = 17.0, 1.5, 5.0
+BOUND = RATE * EXCESS + ALLOWANCE
+COLD_SECONDS = 3.0
+SPEC = ServiceSpec(ServiceName("s"), 10_000, cold_seconds=COLD_SECONDS, cold_rate=RATE)
+SIZE = WorkSize()
+MANY_SLOTS = 100_000  # so that nothing but the rate holds requests back
+
+
+def make_record(number=0, born=1, cold_for=0.0, slots=MANY_SLOTS):
+    name, domain = InstanceId(f"e-{number}"), FailureDomain("a")
+    address = Address("10.0.0.9", 80 + number)
+    return EndpointRecord(name, SPEC.name, address, domain, slots, born=born, cold_for=cold_for)
+
+
+def make_row(name, settled_count=0, leaving=False, sequence=1):
+    return EntryRow(name, sequence, name, 1, 2, "r", "a", True, leaving, None, settled_count)
+
+
+# What is cold
+
+
+@pytest.mark.parametrize(
+    ("steps", "warm_at"),
+    [
+        ([], 3.0),
+        ([("record", 2.0, 0.0)], 3.0),  # a record that names no rest may be old
+        ([("record", 2.0, 4.0)], 6.0),
+        ([("record", 2.0, 0.5)], 3.0),
+        ([("record", 1.0, 4.0), ("record", 2.0, 4.0)], 5.0),  # read again, but not newer
+        ([("word", 1.0, 0.0)], 1.0 - MARGIN_SECONDS),
+        ([("word", 1.0, 0.7)], 1.7),
+        ([("word", 2.0, 5.0)], 7.0),
+        ([("word", 0.1, 0.0)], 3.0),  # may be older than what made the endpoint cold
+        ([("word", 1.0, 0.0), ("silence", 2.0, 3.0)], 5.0),
+        ([("silence", 2.9, 3.0), ("word", 3.0, 0.0)], 5.9),
+        ([("word", 1.0, 0.0), ("word", 2.0, 1.0)], 3.0),
+    ],
+)
+def test_endpoint_is_cold_until_its_evidence_has_run_out(steps, warm_at):
+    coldness, name = Coldness(), make_record().incarnation
+    assert coldness.record_endpoint(make_record(), SPEC, True, 0.0)
+    for kind, at, seconds in steps:
+        if kind == "record":
+            coldness.record_endpoint(make_record(cold_for=seconds), SPEC, False, at)
+        elif kind == "word":
+            coldness.record_word(name, seconds, at)
+        else:
+            coldness.record(name, ColdCause.SILENCE, seconds, at)
+    end = warm_at + MARGIN_SECONDS
+    assert coldness.is_cold(name, end - 0.01) or end <= steps[-1][1]
+    assert not coldness.is_cold(name, end + 0.01)
+
+
+def make_guard(now=0.0, spec=SPEC, **options):
+    """Return a guard with one endpoint, alone and settled, and the endpoint's state."""
+    record = make_record(**options)
+    states = {record.endpoint: EndpointState(record, None, Random(1))}
+    guard = ColdGuard(EXCESS, ALLOWANCE, states, Metrics(), now)
+    guard.view = EntryView("own", now)
+    guard.view.settled = True
+    guard.record_endpoint(record, spec, True, now)
+    return guard, states[record.endpoint]
+
+
+def run_checks(guard, start, end):
+    at = start
+    while at < end:
+        guard.check(at)
+        at += 0.1
+    guard.check(end)
+
+
+@pytest.mark.parametrize(
+    ("event", "cold"),
+    [
+        ("none", False),
+        ("short silence", False),
+        ("silence", True),
+        ("silence that ended", True),
+        ("peer", True),
+        ("evacuation", True),
+        ("evacuation elsewhere", False),
+        ("pause of this process", True),
+        ("no entry is heard of", True),
+    ],
+)
+def test_what_may_have_made_an_endpoint_cold_again(event, cold):
+    guard, state = make_guard()
+    run_checks(guard, 0.0, 10.0)
+    assert guard.find_share(state.record, 10.0) is None
+    if "silence" in event:
+        state.record_silence(9.9, 10.0)
+        run_checks(guard, 10.0, 10.0 + (0.3 if "short" in event else MIN_SILENCE_SECONDS))
+        if event != "silence":
+            state.record_progress()
+    elif event == "peer":
+        report = ColdReport([ColdRow(state.record.incarnation, 3.0), ColdRow("x/1", 3.0)], 0.0)
+        relayed = guard.receive(decode_message(encode_message(report)), 10.0)
+        assert [row.endpoint for row in relayed.rows] == [state.record.incarnation]
+        assert guard.receive(report, 10.0) is None
+    elif "evacuation" in event:
+        domain = FailureDomain("b" if "elsewhere" in event else "a")
+        guard.record_evacuation_end(domain, 10.0)
+    elif event == "no entry is heard of":
+        rows = [[make_row("other")], []]
+        guard.read_entries = lambda: (rows.pop(0) if rows else [], SeedContact.ALL)
+    now = 12.0 if "pause" in event else 10.6
+    if "pause" not in event:
+        run_checks(guard, 10.0, now)
+    guard.check(now)
+    assert (guard.find_share(state.record, now) is not None) == cold
+
+
+def test_lasting_silence_is_told_to_peers_and_nothing_else_is():
+    guard, state = make_guard()
+    told = []
+    guard.notify_peers = told.append
+    run_checks(guard, 0.0, 5.0)
+    assert not told
+    state.record_silence(5.0, 5.0)
+    run_checks(guard, 5.0, 7.0)
+    assert 3 <= len(told) <= 4
+    assert all(row.endpoint == state.record.incarnation for m in told for row in m.rows)
+
+
+# Who shares
+
+
+@pytest.mark.parametrize(
+    ("rows", "seeds", "settled_after"),
+    [
+        ([], SeedContact.ALL, SETTLE_SECONDS),
+        ([], SeedContact.FEW, None),
+        ([make_row("a")], SeedContact.ALL, SETTLE_SECONDS),
+        ([make_row("a")], SeedContact.MOST, LATE_SEED_SECONDS),
+        ([make_row("a")], SeedContact.FEW, None),
+        ([make_row("a", settled_count=2)], SeedContact.FEW, SETTLE_SECONDS),
+        ([make_row("a", settled_count=3)], SeedContact.FEW, None),  # knows one more than this one
+        ([make_row("a", 2), make_row("b", 9)], SeedContact.FEW, SETTLE_SECONDS),
+    ],
+)
+def test_entry_that_starts_settles_once_it_knows_the_others(rows, seeds, settled_after):
+    view = EntryView("own", 0.0)
+    settled_at = None
+    for tick in range(120):
+        view.update(rows, seeds, 0.1 * tick)
+        if view.settled and settled_at is None:
+            settled_at = 0.1 * tick
+    if settled_after is None:
+        assert settled_at is None
+    else:
+        assert settled_at == pytest.approx(settled_after, abs=0.15)
+
+
+@pytest.mark.parametrize(
+    ("silent", "leaving", "forgotten_after"),
+    [(1, False, MEMORY_SECONDS), (7, False, LONG_MEMORY_SECONDS), (7, True, 0.0)],
+)
+def test_silent_entries_keep_their_part_for_a_while(silent, leaving, forgotten_after):
+    names = [f"entry-{number}" for number in range(7)]
+    view = EntryView("own", 0.0)
+    view.update([make_row(name, leaving=leaving) for name in names], SeedContact.ALL, 0.1)
+    rows = [make_row(name) for name in names[silent:]]
+    at = 0.1
+    while len(view.names) == 8 and at < 1000.0:
+        at += 0.4
+        view.update(rows, SeedContact.ALL, at)
+    assert at - 0.1 == pytest.approx(forgotten_after, abs=1.0)
+    assert len(view.names) == 8 - silent
+
+
+def test_entry_that_stood_still_is_unsettled_and_keeps_its_view():
+    view = EntryView("own", 0.0)
+    for tick in range(20):
+        view.update([make_row("a")], SeedContact.ALL, 0.1 * tick)
+    assert view.settled and view.observe(90.0) and not view.settled
+    assert view.names == ("a", "own")
+    view.update([], SeedContact.ALL, 90.1)
+    assert view.names == ("a", "own")
+
+
+def test_row_of_an_earlier_build_is_read():
+    row = EntryRow("a", 1, "h", 1, 2, "r", "d", True, False, 3.0)
+    assert row.settled_count == 0
+
+
+# The rate
+
+
+@pytest.mark.parametrize("bound", [6.0, 17.0, 30.5, 80.0])
+@pytest.mark.parametrize("count", [1, 2, 5, 9, 13, 24, 25, 40, 60, 300])
+def test_shares_of_all_entries_keep_to_the_bound(count, bound):
+    rate = min(RATE, bound)
+    plan = plan_cold_shares(rate, bound, count)
+    most = plan.senders * (int((1.0 + DELIVERY_SECONDS) / plan.interval) + 1)
+    assert most <= bound
+    entries = [f"entry-{number}" for number in range(count)]
+    shares = [compute_cold_share(rate, bound, "e", name, entries) for name in entries]
+    assert sum(share > 0 for share in shares) == plan.senders
+    assert sum(shares) <= rate * 1.001
+    if bound >= 1.5 * rate + 5:
+        assert sum(shares) >= 0.9 * rate
+
+
+@pytest.mark.parametrize(
+    ("limit", "share", "cold", "sent"),
+    [
+        (None, 0.0, ColdShare(17.0, 17.0, 1.0), 17),
+        (None, 0.0, ColdShare(17.0, 0.0, 0.0), 0),
+        (4.0, 4.0, ColdShare(17.0, 17.0, 1.0), 4),
+        (40.0, 40.0, ColdShare(17.0, 2.0, 1.0), 2),
+        (4.0, 4.0, None, 4),
+    ],
+)
+def test_lower_of_both_limits_applies(limit, share, cold, sent):
+    state = EndpointState(make_record(), None, Random(1))
+    state.limit_rate(limit, share, 0.0, cold)
+    count = 0
+    for tick in range(1, 102):
+        if state.has_capacity(0.01 * tick):
+            state.record_sent(RequestId(str(tick)), SIZE, 0.01 * tick)
+            count += 1
+    assert count == pytest.approx(sent, abs=1)
+
+
+def test_cold_endpoint_frees_no_more_places_than_this_entrys_share():
+    state = EndpointState(make_record(slots=4), None, Random(1))
+    busy = forecast_slots([state], 10, 0.0).find_wait(1)
+    state.limit_rate(None, 0.0, 0.0, ColdShare(10.0, 0.5, 1.0))
+    assert forecast_slots([state], 10, 0.0).find_wait(1) == pytest.approx(2.0)
+    state.limit_rate(None, 0.0, 0.0)
+    assert forecast_slots([state], 10, 0.0).find_wait(1) == busy
+
+
+@pytest.mark.parametrize(
+    ("priority", "warm_load", "chosen"),
+    [(0, 4, "e-0"), (1, 4, "e-1"), (2, 8, "e-1"), (1, 60, "e-0")],
+    ids=["urgent", "less urgent", "least urgent", "warm one is late"],
+)
+def test_less_urgent_requests_leave_cold_places_to_urgent_ones(priority, warm_load, chosen):
+    cold, warm = [EndpointState(make_record(n, slots=4), None, Random(1)) for n in range(2)]
+    cold.limit_rate(None, 0.0, 0.0, ColdShare(17.0, 17.0, 1.0))
+    warm.record = replace(warm.record, slots=40)
+    placement = Placement(FailureDomain("a"), Random(1))
+    for number in range(warm_load):
+        warm.record_sent(RequestId(str(number)), SIZE, 0.5)
+    if warm_load <= 8:
+        warm._work_seconds = 0.1
+    else:
+        warm._work_seconds = 0.5
+    state = placement.choose([cold, warm], SIZE, (), False, 1.0, priority)
+    assert state.record.endpoint == chosen
