--- a/src/coltsfootshift/gateway/cold_guard.py
+++ b/src/coltsfootshift/gateway/cold_guard.py
@@ -26,6 +26,9 @@
 # What makes an endpoint cold again takes longer than a pause of its scheduler.
 MIN_SILENCE_SECONDS = 0.5
 TELL_SECONDS = 0.5  # peers are told of a lasting silence this often
+# An entry that hears of nobody for longer has probably outlived the others: it is to serve on, and
+# notices by itself what falls silent.
+MAX_ABSENCE_SECONDS = 10.0
 MAX_TOLD_SECONDS = 600.0  # of coldness, by a peer
 
 logger = get_logger("gateway.cold")
@@ -59,7 +62,7 @@
         self._coldness = Coldness()
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._changed = False
-        self._checked_at = self._view_checked_at = now
+        self._checked_at = self._view_checked_at = self._out_since = now
         self._told_at: dict[str, float] = {}
         metrics.add_gauge("endpoints_cold", lambda: float(len(self._coldness)))
         metrics.add_gauge("entry_view_settled", lambda: float(self.view.settled))
@@ -169,19 +172,25 @@
         return tracked
 
     def _check_view(self, now: float) -> bool:
-        view = self.view
-        changed = view.observe(now)
-        was_out = changed or view.isolated
+        paused = changed = self.view.observe(now)
         if now - self._view_checked_at >= VIEW_CHECK_SECONDS and self.read_entries is not None:
             self._view_checked_at = now
             rows, seeds = self.read_entries()
-            changed |= view.update(rows, seeds, now)
+            changed |= self.view.update(rows, seeds, now)
             self._coldness.keep_only({record.incarnation for record, _ in self._list_tracked()})
-        if was_out:
-            for record, spec in self._list_tracked():
-                self._record(record, ColdCause.ABSENCE, spec.cold_seconds, now)
+        self._check_absence(paused, now)
         return changed
 
+    def _check_absence(self, paused: bool, now: float) -> None:
+        """Treat all endpoints as cold while this entry may miss what makes them so."""
+        is_out = paused or self.view.isolated or not self.view.settled
+        if paused or not is_out:
+            self._out_since = now
+        if not is_out or now - self._out_since > MAX_ABSENCE_SECONDS:
+            return
+        for record, spec in self._list_tracked():
+            self._record(record, ColdCause.ABSENCE, spec.cold_seconds, now)
+
     def _record_silent(self, now: float) -> None:
         """Treat endpoints as cold that have been silent for long, and tell the peers."""
         rows = []
