--- a/src/coltsfootshift/gateway/coldness.py
+++ b/src/coltsfootshift/gateway/coldness.py
@@ -96,10 +96,12 @@
     ) -> bool:
         """Take in a record of the store; return whether the endpoint was not cold before.
 
-        `is_new` is set if the incarnation was not in the table. A record's word counts once: it is
-        not newer each time that the table is read.
+        `is_new` is set if the incarnation was not in the table; one whose service has just been
+        given a cold rate is new as well. A record's word counts once: it is not newer each time
+        that the table is read.
         """
         name = record.incarnation
+        is_new = is_new or name not in self._record_words
         changed = self._record_words.get(name) != record.cold_for
         self._record_words[name] = record.cold_for
         if is_new:
--- a/tests/test_gateway_coldness.py
+++ b/tests/test_gateway_coldness.py
@@ -31,7 +31,7 @@
     SeedContact,
 )
 from coltsfootshift.gateway.fleet import RELAY_DELAY_SECONDS
-from coltsfootshift.gateway.model import EndpointRecord, ServiceSpec
+from coltsfootshift.gateway.model import EndpointRecord, ServiceSpec, Team
 from coltsfootshift.gateway.placement import (
     ColdShare,
     EndpointState,
@@ -41,7 +41,7 @@
 )
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import TICK_SECONDS
-from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName
+from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName, TeamName
 from coltsfootshift.messages import ColdReport, ColdRow, EntryRow
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
@@ -339,7 +339,7 @@
         self.phase = fleet.rng.random() * STEP_SECONDS
         sequence = int(now * 1000) + 1
         self.roster = Roster(EntryRow(name, sequence, name, 1, 2, "r", "a", True, False))
-        self.states, self.closed, self.waiting, self.met = {}, set(), deque(), set()
+        self.states, self.closed, self.waiting, self.met = {}, set(), deque(), {}
         self.relayed = []
         self.guard = ColdGuard(EXCESS, ALLOWANCE, self.states, Metrics(), now)
         self.guard.view = EntryView(name, now)
@@ -524,9 +524,11 @@
             other = self.entries.get(name)
             if other is None or other is entry or not self.is_linked(entry, other):
                 continue
+            if other not in entry.met and now < other.frozen_until:
+                continue
             if other not in entry.met:
-                entry.met.add(other)
-                other.met.add(entry)
+                entry.met[other] = True
+                other.met[entry] = True
                 self.send(entry, other, entry.roster.list_rows(), now)
                 self.send(other, entry, other.roster.list_rows(), now)
             else:
@@ -553,8 +555,8 @@
         delay = self.rng.random() * LONGEST_NEWS_SECONDS
         self.plan(now + delay, self.deliver, receiver, receive)
 
-    def run(self, seconds=RUN_SECONDS, step_seconds=STEP_SECONDS):
-        for step in range(int(seconds / step_seconds)):
+    def run(self, until=RUN_SECONDS, step_seconds=STEP_SECONDS, since=0.0):
+        for step in range(round(since / step_seconds), round(until / step_seconds)):
             now = step * step_seconds
             while self.events and self.events[0][0] <= now:
                 _, _, call, args = heapq.heappop(self.events)
@@ -591,3 +593,113 @@
     for endpoint in fleet.endpoints.values():
         sent = sum(at >= 4.0 for at in endpoint.arrivals)
         assert sent >= 0.8 * RATE * 5.0
+
+
+@pytest.mark.parametrize("count", [1, 13, 60])
+def test_fleet_and_endpoints_that_restart_together_keep_to_the_bound(count):
+    """All machines lose power: nobody knows anybody, and demand is far above what is allowed."""
+    fleet = Fleet(count, count, cold_seconds=6.0, calm=True)
+    fleet.run(4.0, TICK_SECONDS)
+    fleet.entries, fleet.events = {}, []
+    for name in fleet.endpoints:
+        fleet.endpoints[name] = Endpoint(int(name[2:]), born=2)
+        fleet.endpoints[name].back_at = 4.0
+    for name in fleet.names:
+        fleet.plan(4.0 + 0.3 * fleet.rng.random(), fleet.start, name)
+    fleet.run(10.0, TICK_SECONDS, since=4.0)
+    assert fleet.count_most() <= BOUND
+    for endpoint in fleet.endpoints.values():
+        assert sum(at >= 8.0 for at in endpoint.arrivals) >= 0.8 * RATE * 2.0
+
+
+# The gateway
+
+
+def make_cold_harness(cold_rate, cold_seconds=COLD_SECONDS, endpoints=1):
+    """Return the harness of a gateway that is alone, settled and has one cold service."""
+    harness = GatewayHarness(endpoints=endpoints)
+    service = ServiceSpec(SPEC.name, 100, cold_seconds=cold_seconds, cold_rate=cold_rate)
+    catalogue = harness.tables.catalogue
+    teams = {f"key-{n}": Team(TeamName(f"team-{n}"), priority=n) for n in (0, 2)}
+    services = {**catalogue.services, SPEC.name: service}
+    harness.tables.catalogue = replace(catalogue, services=services, teams=teams)
+    harness.gateway.cold.view.settled = True
+    harness.gateway.refresh()
+    return harness
+
+
+def pump(harness, seconds):
+    """Let time pass; return the requests that have reached endpoints, each on its connection."""
+    sent = []
+    for _ in range(round(seconds / TICK_SECONDS)):
+        harness.clock.advance(TICK_SECONDS)
+        while (transport := harness.accept()) is not None:
+            sent.append(transport)
+    return sent
+
+
+@pytest.mark.parametrize(
+    ("rate", "seconds", "sent", "refused"),
+    [(40.0, 3.0, (6, 12), (15, 26)), (0.0, 3.0, (12, 12), (0, 0)), (40.0, 0.0, (12, 12), (0, 0))],
+    ids=["cold", "no rate", "no time"],
+)
+def test_requests_beyond_a_cold_share_are_refused_at_once(rate, seconds, sent, refused):
+    """Without the fields all of them are placed or wait, as before."""
+    harness = make_cold_harness(rate, seconds)
+    callers = [harness.send_request(key="key-2", request=f"r-{n}") for n in range(30)]
+    answered = [caller for caller in callers if b" 503 " in caller.value()]
+    assert refused[0] <= len(answered) <= refused[1]
+    connections = pump(harness, 0.36)
+    assert sent[0] <= len(connections) <= sent[1]
+    counters = harness.gateway.metrics.snapshot()["counters"]
+    assert ("requests_to_cold" in counters) == bool(rate and seconds)
+    assert ("placements_put_off_by_cold" in counters) == bool(rate and seconds)
+
+
+def test_urgent_request_gets_the_place_for_which_others_wait():
+    harness = make_cold_harness(10.0)
+    for name, key in (("late", "key-2"), ("urgent", "key-0")):
+        harness.send_request(key=key, request=name)
+    sent = pump(harness, 0.2)
+    assert [b"urgent" in transport.value() for transport in sent] == [True], sent[0].value()
+
+
+def test_endpoint_is_used_as_before_once_it_says_that_it_is_warm():
+    harness = make_cold_harness(10.0)
+    pump(harness, 1.0)
+    harness.send_request(key="key-0", request="r-0")
+    (first,) = pump(harness, 0.2)
+    state = harness.gateway._states[InstanceId("e-0")]
+    assert state.cold and state.rate_limit == 10.0
+    headers = ("X-Cold-Ms: 0",)
+    first.protocol.dataReceived(make_response(b"ok", request="r-0", headers=headers))
+    pump(harness, 0.04)
+    assert not state.cold and state.rate_limit is None
+    for number in range(1, 6):
+        harness.send_request(key="key-2", request=f"r-{number}")
+    assert len(pump(harness, 0.02)) + (b"r-" in first.value()) >= 5
+
+
+def test_service_without_a_cold_rate_is_served_as_before(caplog):
+    logging.disable(logging.NOTSET)
+    caplog.set_level(logging.INFO)
+    harness = GatewayHarness(endpoints=2, engines=2)
+    harness.gateway.cold.record_evacuation_end(FailureDomain("a"), 0.0)
+    for number in range(8):
+        harness.send_request(request=f"r-{number}")
+    assert len(pump(harness, 0.02)) == 8
+    assert not any(state.cold for state in harness.gateway._states.values())
+    lines = [record.getMessage() for record in caplog.records]
+    assert "request placed" in lines
+    assert not [line for line in lines if "cold" in line or "view of entries" in line]
+
+
+def test_gateway_logs_what_turns_cold_and_warm(caplog):
+    logging.disable(logging.NOTSET)
+    caplog.set_level(logging.INFO)
+    harness = make_cold_harness(10.0)
+    assert harness.gateway.metrics.snapshot()["gauges"]["endpoints_cold"] == 1.0
+    pump(harness, COLD_SECONDS + 1.0)
+    rows = [row for row in caplog.records if row.getMessage().startswith("endpoint ")]
+    assert [row.getMessage() for row in rows] == ["endpoint cold", "endpoint warm"]
+    assert harness.gateway.metrics.snapshot()["gauges"]["endpoints_cold"] == 0.0
--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -113,6 +113,37 @@
     assert sum(len(routes) for routes in catalogue.routes.values()) == left
 
 
+@pytest.mark.parametrize(
+    ("change", "cold"),
+    [
+        ({}, (0.0, 0.0)),
+        ({"cold_s": 3, "cold_per_s": 17.0}, (3.0, 17.0)),
+        ({"cold_s": 3}, (3.0, 0.0)),
+        ({"cold_s": 3, "cold_per_s": -1}, None),
+        ({"cold_s": "3", "cold_per_s": 17}, None),
+        ({"cold_s": HUGE, "cold_per_s": 17}, None),
+        ({"cold_s": None, "cold_per_s": 17}, None),
+    ],
+    ids=lambda value: str(value)[:40],
+)
+def test_service_says_how_cold_its_endpoints_are(change, cold):
+    """A service whose figures cannot be read is left out: it must not be taken for a warm one."""
+    config = make_config(7, ORIGIN)
+    name = config["services"][0]["name"]
+    config["services"][0].update(change)
+    catalogue = StoreItemDecoder().read_catalogue(make_item("op/config", config))
+    assert catalogue is not None
+    service = catalogue.services.get(name)
+    assert cold == (None if service is None else (service.cold_seconds, service.cold_rate))
+
+
+@pytest.mark.parametrize("milliseconds", [0, 1500, 2750.5])
+def test_entry_says_for_how_long_its_engine_is_cold(milliseconds):
+    entry = make_item("servers/e-1", write_entry(cold_ms=milliseconds))
+    record = StoreItemDecoder().read_endpoint(entry)
+    assert record is not None and record.cold_for == milliseconds / 1000
+
+
 @pytest.mark.parametrize("keys", [[], None], ids=["empty", "null"])
 def test_team_without_keys_leaves_the_catalogue_in_force(keys):
     config = make_config(7, ORIGIN)
