--- a/src/coltsfootshift/gateway/cold_guard.py
+++ b/src/coltsfootshift/gateway/cold_guard.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 
 from coltsfootshift.gateway.coldness import ColdCause, Coldness
 from coltsfootshift.gateway.endpoint_limits import (
@@ -16,7 +16,7 @@
 from coltsfootshift.gateway.placement import ColdShare, EndpointState
 from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
 from coltsfootshift.logs import get_logger
-from coltsfootshift.messages import ColdReport, ColdRow, EntryRow, Message
+from coltsfootshift.messages import ColdReport, ColdRow, EntryRow, Message, WarmReport
 from coltsfootshift.metrics import Metrics
 
 __all__ = ["ColdGuard"]
@@ -29,6 +29,7 @@
 # An entry that hears of nobody for longer has probably outlived the others: it is to serve on, and
 # notices by itself what falls silent.
 MAX_ABSENCE_SECONDS = 10.0
+MAX_TOLD_WARM = 8192
 MAX_TOLD_SECONDS = 600.0  # of coldness, by a peer
 
 logger = get_logger("gateway.cold")
@@ -41,7 +42,8 @@
     a rate (`endpoint_limits`), writes the logs and keeps the metrics. Without a service that has a
     cold rate it does nothing. A cold endpoint may get its rate times `excess`, and `allowance`
     requests more, in any one second. `states` holds the current endpoints and is read only.
-    `read_entries` returns the rows of the live entries and how many seeds are among them.
+    `read_entries` returns the rows of the live entries and how many seeds are among them,
+    `list_evacuated` the failure domains that are out of service.
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         self.view = EntryView("", now)
         self.read_entries: Callable[[], tuple[Iterable[EntryRow], SeedContact]] | None = None
         self.notify_peers: Callable[[Message], None] | None = None
+        self.list_evacuated: Callable[[], Container[FailureDomain]] = tuple
         self._excess = excess
         self._allowance = allowance
         self._states = states
@@ -64,6 +67,7 @@
         self._changed = False
         self._checked_at = self._view_checked_at = self._out_since = now
         self._told_at: dict[str, float] = {}
+        self._known_warm: dict[str, float] = {}
         metrics.add_gauge("endpoints_cold", lambda: float(len(self._coldness)))
         metrics.add_gauge("entry_view_settled", lambda: float(self.view.settled))
 
@@ -97,6 +101,9 @@
             self.view.observe(now)
         self._changed |= self._services.get(spec.name) != spec
         self._services[spec.name] = spec
+        if is_new and self._is_told_warm(record.incarnation, now):
+            is_new = False
+            self._coldness.watch(record)
         if not self._coldness.record_endpoint(record, spec, is_new, now):
             return False
         self._log_cold(record.incarnation, now)
@@ -134,6 +141,35 @@
                 news.append(ColdRow(row.endpoint, seconds))
         return ColdReport(news, now) if news else None
 
+    def make_warm_report(self, now: float) -> WarmReport | None:
+        """Return which endpoints are known to be warm, for an entry that has just started.
+
+        An entry that may itself miss what makes endpoints cold says nothing, and nobody knows it of
+        those that get no requests.
+        """
+        if not self.view.settled or self.view.isolated:
+            return None
+        names, evacuated = [], self.list_evacuated()
+        for state in self._states.values():
+            name = state.record.incarnation
+            if state.record.service not in self._services or state.measure_silence(now) > 0.0:
+                continue
+            if state.record.failure_domain in evacuated:
+                continue
+            if self._coldness.get(name) is None:
+                names.append(name)
+        return WarmReport(names, now) if names else None
+
+    def receive_warm(self, report: WarmReport, now: float) -> None:
+        """Take in which endpoints a peer knows to be warm.
+
+        Load pattern: part of the fleet restarts under load. It would serve next to nothing until
+        what it does not know has become warm, while the others, who do know, take its callers.
+        """
+        for name in report.endpoints[:MAX_TOLD_WARM]:
+            self._known_warm[name] = now
+            self._changed |= self._coldness.record_warm(name, now)
+
     def check(self, now: float) -> bool:
         """Bring beliefs and shares up to date; return whether limits are to be applied anew."""
         if not self._services or now - self._checked_at < CHECK_SECONDS / 2:
@@ -186,10 +222,21 @@
         is_out = paused or self.view.isolated or not self.view.settled
         if paused or not is_out:
             self._out_since = now
+        if paused or self.view.settled:
+            self._known_warm.clear()
         if not is_out or now - self._out_since > MAX_ABSENCE_SECONDS:
             return
         for record, spec in self._list_tracked():
-            self._record(record, ColdCause.ABSENCE, spec.cold_seconds, now)
+            if not self._is_told_warm(record.incarnation, now):
+                self._record(record, ColdCause.ABSENCE, spec.cold_seconds, now)
+
+    def _is_told_warm(self, incarnation: str, now: float) -> bool:
+        """Return whether a peer has just said that an endpoint is warm.
+
+        Until this entry has settled, it hears of silent endpoints from the same peer.
+        """
+        told_at = self._known_warm.get(incarnation)
+        return told_at is not None and now - told_at <= MAX_ABSENCE_SECONDS
 
     def _record_silent(self, now: float) -> None:
         """Treat endpoints as cold that have been silent for long, and tell the peers."""
--- a/src/coltsfootshift/gateway/coldness.py
+++ b/src/coltsfootshift/gateway/coldness.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
+from math import inf
 
 from coltsfootshift.gateway.model import EndpointRecord, ServiceSpec
 
@@ -27,18 +28,25 @@
     EVACUATION = "evacuation"
     ABSENCE = "this entry was out of touch"
 
+    @property
+    def is_evidence(self) -> bool:
+        """Whether something has been heard of the endpoint, and not only nothing."""
+        return self not in (ColdCause.NEW, ColdCause.ABSENCE)
+
 
 @dataclass(frozen=True, slots=True)
 class ColdEndpoint:
     """An incarnation of an endpoint that is cold `until` then, in seconds of this clock.
 
-    `at` is when the latest evidence came.
+    `at` is when the latest evidence came. `proven_until` is the part of the time for which there is
+    evidence: of the rest, nothing is known.
     """
 
     incarnation: str
     cause: ColdCause
     at: float
     until: float
+    proven_until: float = -inf
 
 
 class Coldness:
@@ -85,12 +93,26 @@
         """
         was_cold = self.is_cold(incarnation, now)
         until = now + seconds + MARGIN_SECONDS
+        proven_until = until if cause.is_evidence else -inf
         known = self._cold.get(incarnation)
         if known is not None and was_cold:
             cause, until = known.cause, max(known.until, until)
-        self._cold[incarnation] = ColdEndpoint(incarnation, cause, now, until)
+            proven_until = max(known.proven_until, proven_until)
+        self._cold[incarnation] = ColdEndpoint(incarnation, cause, now, until, proven_until)
         return not was_cold
 
+    def record_warm(self, incarnation: str, now: float) -> bool:
+        """Record that a peer knows an endpoint to be warm; return whether it was cold here.
+
+        What has been heard of the endpoint here may be newer, and stands.
+        """
+        known = self._cold.get(incarnation)
+        if known is None or known.proven_until >= known.until:
+            return False
+        until = max(now, known.proven_until)
+        self._cold[incarnation] = replace(known, until=until)
+        return now < known.until and until <= now
+
     def record_endpoint(
         self, record: EndpointRecord, spec: ServiceSpec, is_new: bool, now: float
     ) -> bool:
@@ -111,6 +133,10 @@
             return self.record(name, ColdCause.RECORD, record.cold_for, now)
         return False
 
+    def watch(self, record: EndpointRecord) -> None:
+        """Take in the record of an endpoint that is known to be warm."""
+        self._record_words[record.incarnation] = 0.0
+
     def record_word(self, incarnation: str, cold_for: float, now: float) -> bool:
         """Take in an endpoint's word of how long it stays cold; return whether a belief changed."""
         known = self._cold.get(incarnation)
@@ -119,7 +145,7 @@
                 return False
             return self.record(incarnation, ColdCause.RESPONSE, cold_for, now)
         until = now + cold_for + (MARGIN_SECONDS if cold_for > 0.0 else 0.0)
-        self._cold[incarnation] = ColdEndpoint(incarnation, ColdCause.RESPONSE, now, until)
+        self._cold[incarnation] = ColdEndpoint(incarnation, ColdCause.RESPONSE, now, until, until)
         return (now < until) != (now < known.until)
 
     def remove_warm(self, now: float) -> list[ColdEndpoint]:
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -35,7 +35,7 @@
 )
 from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
-from coltsfootshift.messages import ColdReport, EngineNotice, EntryRow, Message
+from coltsfootshift.messages import ColdReport, EngineNotice, EntryRow, Message, WarmReport
 from coltsfootshift.settings import Address
 
 __all__ = ["GatewayEntry", "TableSource"]
@@ -199,10 +199,18 @@
         """Return when this entry has seen for long enough what is served."""
         return self.reactor.seconds() + SURVIVAL_MEMORY_SECONDS
 
+    def list_beliefs(self) -> list[Message]:
+        """Return what a new peer has to know of endpoints."""
+        report = self.gateway.cold.make_warm_report(self.reactor.seconds())
+        return super().list_beliefs() + ([] if report is None else [report])
+
     def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
         """Merge what a peer knows of endpoints, and act on it."""
         if isinstance(message, ColdReport):
             return BeliefAnswer(self.gateway.cold.receive(message, self.reactor.seconds()))
+        if isinstance(message, WarmReport):
+            self.gateway.cold.receive_warm(message, self.reactor.seconds())
+            return BeliefAnswer()
         answer = super().belief_received(message, peer)
         if answer.relay is not None:
             self.gateway.apply_limits()
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -46,6 +46,7 @@
     TableItem,
     TableRevision,
     TableRevisions,
+    WarmReport,
 )
 from coltsfootshift.settings import Address
 from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
@@ -62,6 +63,8 @@
 STORE_ANSWER_SECONDS = 0.2
 # An entry of the own region passes on what one of them has requested from another region.
 NEAR_ANSWER_SECONDS = 0.2
+# Of news that an endpoint is warm: it may have become cold since.
+MAX_WARM_DELAY_SECONDS = 0.5
 MIN_WAIT_SECONDS = 0.01  # shorter ones are over, whatever rounding leaves of them
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
@@ -277,7 +280,7 @@
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
             self._observer.engine_status_received(message, stream.transit_delay)
-        elif isinstance(message, (SuspicionReport, EndpointLimitReport, ColdReport)):
+        elif isinstance(message, (SuspicionReport, EndpointLimitReport, ColdReport, WarmReport)):
             self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
@@ -292,6 +295,8 @@
             message = _add_transit(message, stream.transit_delay)
         elif isinstance(message, ColdReport):
             message = _take_transit(message, stream.transit_delay)
+        elif isinstance(message, WarmReport) and stream.transit_delay > MAX_WARM_DELAY_SECONDS:
+            return
         answer = self._observer.belief_received(message, stream.peer_id)
         if answer.reply is not None:
             stream.send(answer.reply)
--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -38,7 +38,7 @@
 from coltsfootshift.keys import KeyRing
 from coltsfootshift.logs import get_logger, set_up_bounded_logs
 from coltsfootshift.loop import end_process
-from coltsfootshift.messages import ColdReport, EngineNotice, Hello, Message
+from coltsfootshift.messages import ColdReport, EngineNotice, Hello, Message, WarmReport
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import EXIT_CANNOT_LISTEN, Address, StreamTiming
 from coltsfootshift.streams import StreamContext, StreamListener
@@ -211,7 +211,7 @@
 
     def belief_received(self, message: Message, peer: InstanceId) -> BeliefAnswer:
         """Merge what a peer knows of endpoints; only entries place requests on cold ones."""
-        if isinstance(message, ColdReport):
+        if isinstance(message, (ColdReport, WarmReport)):
             return BeliefAnswer()
         return self.beliefs.receive(message, peer, self.reactor.seconds())
 
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -40,6 +40,7 @@
     TableItem,
     TableRevision,
     TableRevisions,
+    WarmReport,
 )
 from coltsfootshift.messages.tables import (
     Difference,
@@ -144,4 +145,5 @@
     "VersionedRecord",
     "ViewAnnounced",
     "VoidTicket",
+    "WarmReport",
 ]
--- a/src/coltsfootshift/messages/gateway.py
+++ b/src/coltsfootshift/messages/gateway.py
@@ -28,6 +28,7 @@
     "TableRevisions",
     "TableChanges",
     "EntryList",
+    "WarmReport",
 ]
 
 
@@ -234,6 +235,13 @@
     sent_at: float
 
 
+class WarmReport(Message, frozen=True, array_like=True, tag="g-warm"):
+    """The incarnations of endpoints that the sender knows to be warm."""
+
+    endpoints: list[Name]
+    sent_at: float
+
+
 class ChunkDigests(Message, frozen=True, array_like=True, tag="g-digests"):
     """The SHA-256 digests of a version's chunks, in order, as obtained from the origin."""
 
--- a/tests/test_gateway_coldness.py
+++ b/tests/test_gateway_coldness.py
@@ -42,7 +42,7 @@
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.service import TICK_SECONDS
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, ServiceName, TeamName
-from coltsfootshift.messages import ColdReport, ColdRow, EntryRow
+from coltsfootshift.messages import ColdReport, ColdRow, EntryRow, WarmReport
 from coltsfootshift.metrics import Metrics
 from coltsfootshift.settings import Address
 
@@ -316,7 +316,6 @@
     def __init__(self, number, born=1):
         self.record = make_record(number, born)
         self.back_at, self.dark_at = 0.0, float("inf")
-        self.evacuated_at = float("inf")
         self.arrivals = []
 
     def is_dark(self, now):
@@ -344,6 +343,7 @@
         self.guard = ColdGuard(EXCESS, ALLOWANCE, self.states, Metrics(), now)
         self.guard.view = EntryView(name, now)
         self.guard.read_entries = self.read_entries
+        self.guard.list_evacuated = lambda: "a" if self.closed else ""
         self.guard.notify_peers = lambda report: fleet.broadcast(self, report, now=self.now)
         self.frozen_until = self.now = now
         self.announce_at = now
@@ -376,6 +376,8 @@
     def receive(self, message, now):
         if isinstance(message, ColdReport):
             self.guard.receive(message, now)
+        elif isinstance(message, WarmReport):
+            self.guard.receive_warm(message, now)
         elif changed := self.roster.merge(message, now):
             if not self.relayed:
                 self.fleet.plan(now + RELAY_DELAY_SECONDS, self.fleet.relay, self)
@@ -424,7 +426,7 @@
         self.seeds = self.rng.sample(self.names, min(count, self.rng.choice([1, 3, 60])))
         self.entries, self.cut = {}, set()
         self.endpoints = {}
-        self.finished = []
+        self.finished, self.evacuated = [], False
         self.events, self.sequence = [], 0
         for number in range(endpoint_count):
             endpoint = Endpoint(number)
@@ -450,6 +452,7 @@
 
     def start(self, now, name):
         self.entries[name] = entry = Entry(self, name, now)
+        entry.closed.update(self.endpoints if self.evacuated else ())
         for endpoint in self.endpoints.values():
             entry.learn(endpoint.record, now)
 
@@ -493,12 +496,14 @@
     def evacuate(self, now, name):
         """Take all endpoints out of service, which all entries know before any is cold."""
         ends_at = now + LONGEST_RECORD_SECONDS + 0.5
+        self.evacuated = True
         for endpoint in self.endpoints.values():
             self.tell(now, lambda at, entry, e=endpoint: entry.closed.add(e.record.endpoint))
             self.plan(ends_at, self.end_evacuation, endpoint)
 
     def end_evacuation(self, now, endpoint):
         endpoint.back_at = max(endpoint.back_at, now)
+        self.evacuated = False
 
         def open_again(at, entry):
             entry.guard.record_evacuation_end(endpoint.record.failure_domain, at)
@@ -520,7 +525,7 @@
     def announce(self, entry, now):
         row = [entry.roster.own]
         names = {known.instance for known in entry.roster.list_rows()}.union(self.seeds)
-        for name in names:
+        for name in sorted(names):
             other = self.entries.get(name)
             if other is None or other is entry or not self.is_linked(entry, other):
                 continue
@@ -529,8 +534,11 @@
             if other not in entry.met:
                 entry.met[other] = True
                 other.met[entry] = True
-                self.send(entry, other, entry.roster.list_rows(), now)
-                self.send(other, entry, other.roster.list_rows(), now)
+                for sender, receiver in ((entry, other), (other, entry)):
+                    self.send(sender, receiver, sender.roster.list_rows(), now)
+                    report = sender.guard.make_warm_report(now)
+                    if report is not None:
+                        self.send(sender, receiver, report, now)
             else:
                 self.send(entry, other, row, now)
 
