--- a/src/coltsfootshift/gateway/cold_guard.py
+++ b/src/coltsfootshift/gateway/cold_guard.py
@@ -11,9 +11,10 @@
     compute_unsettled_share,
     draw_phase,
 )
+from coltsfootshift.gateway.endpoint_rate import ColdShare
 from coltsfootshift.gateway.entry_view import EntryView, SeedContact
 from coltsfootshift.gateway.model import EndpointRecord, ServiceSpec
-from coltsfootshift.gateway.placement import ColdShare, EndpointState
+from coltsfootshift.gateway.placement import EndpointState
 from coltsfootshift.ids import FailureDomain, InstanceId, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import ColdReport, ColdRow, EntryRow, Message, WarmReport
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -8,12 +8,12 @@
 from random import Random
 
 from coltsfootshift.gateway.calls import EndpointLoadReport
-from coltsfootshift.gateway.endpoint_limits import BURST_REQUESTS, RateShare
+from coltsfootshift.gateway.endpoint_rate import ColdShare, EndpointRate
 from coltsfootshift.gateway.model import EndpointRecord, EngineSpec
 from coltsfootshift.gateway.waiting import SlotForecast
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId
 
-__all__ = ["ColdShare", "EndpointState", "Placement", "WorkSize", "forecast_slots"]
+__all__ = ["EndpointState", "Placement", "WorkSize", "forecast_slots"]
 
 # Under overload, a half-life of 1 s lets every entry overfill the endpoints.
 OTHERS_LOAD_HALF_LIFE_SECONDS = 20.0
@@ -51,20 +51,6 @@
     answer: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class ColdShare:
-    """What a cold endpoint takes of all entries and of this one, in requests a second.
-
-    `burst` is how many requests this entry may send at once, and `phase` the part of the interval
-    between two of them after which the first may be sent.
-    """
-
-    limit: float
-    share: float
-    burst: float
-    phase: float = 1.0
-
-
 @dataclass(slots=True)
 class _InFlightAttempt:
     size: WorkSize
@@ -91,9 +77,7 @@
     def __init__(self, record: EndpointRecord, spec: EngineSpec | None, rng: Random) -> None:
         self.record = record
         self.spec = spec
-        self.rate_limit: float | None = None
-        self.cold = False
-        self._rate_share: RateShare | None = None
+        self._rate = EndpointRate()
         self.failure_rate = 0.0
         self.backoff_until = 0.0
         self.paused_until = 0.0
@@ -105,7 +89,6 @@
         self._backoff_seconds = INITIAL_BACKOFF_SECONDS
         self._ejected_at = -inf
         self._silent_since: float | None = None
-        self._own_part = 1.0
         self._probing = False
         self._work_seconds = PLAIN_WORK_SECONDS
 
@@ -132,27 +115,21 @@
         """The measured mean time of a request at a plain service, in seconds."""
         return self._work_seconds
 
+    @property
+    def rate_limit(self) -> float | None:
+        """How many requests a second the endpoint takes from all entries, None if any number."""
+        return self._rate.limit
+
+    @property
+    def cold(self) -> bool:
+        """Whether the endpoint takes few requests for now because it is cold."""
+        return self._rate.cold
+
     def limit_rate(
         self, limit: float | None, share: float, now: float, cold: ColdShare | None = None
     ) -> None:
-        """Set the limit for all entries and this entry's share, in requests a second.
-
-        If the endpoint is cold, the lower of both limits and of both shares applies.
-        """
-        burst, tokens = BURST_REQUESTS, 0.0
-        self.cold = cold is not None
-        if cold is not None:
-            share = cold.share if limit is None else min(share, cold.share)
-            limit = cold.limit if limit is None else min(limit, cold.limit)
-            burst, tokens = cold.burst, 1.0 - cold.phase
-        self.rate_limit = limit
-        self._own_part = share / limit if limit else 0.0
-        if limit is None:
-            self._rate_share = None
-        elif self._rate_share is None:
-            self._rate_share = RateShare(share, now, burst, tokens)
-        else:
-            self._rate_share.set_rate(share, now, burst)
+        """Set the limit for all entries and this entry's share, in requests a second."""
+        self._rate.set(limit, share, now, cold)
 
     def compute_departure_rate(self) -> float:
         """Return how many requests a second the endpoint completes for all entries, when busy."""
@@ -160,15 +137,11 @@
             rate = 1.0 / compute_departure_interval(self.spec)
         else:
             rate = self.slots / max(0.001, self._work_seconds)
-        return rate if self.rate_limit is None else min(rate, self.rate_limit)
+        return self._rate.bound(rate)
 
     def compute_own_rate(self, entry_count: int) -> float:
-        """Return how many requests a second the endpoint completes for this one of the entries.
-
-        A cold endpoint has places for some of the entries only.
-        """
-        rate = self.compute_departure_rate()
-        return rate * self._own_part if self.cold else rate / entry_count
+        """Return how many requests a second the endpoint completes for this one of the entries."""
+        return self._rate.divide(self.compute_departure_rate(), entry_count)
 
     def estimate_load(self, now: float) -> float:
         """Return the estimated number of requests at the endpoint, of all entries."""
@@ -184,7 +157,7 @@
         """
         if now < max(self.backoff_until, self.paused_until) or self._awaits_probe():
             return False
-        if self._rate_share is not None and not self._rate_share.has_room(now):
+        if not self._rate.has_room(now):
             return False
         limit = self.slots if self.spec else self.slots * PLAIN_QUEUE_FACTOR
         if late:
@@ -227,8 +200,7 @@
     def record_sent(self, request: RequestId, size: WorkSize, now: float) -> None:
         """Count a request that was sent to the endpoint."""
         self._in_flight[request] = _InFlightAttempt(size, now)
-        if self._rate_share is not None:
-            self._rate_share.spend(now)
+        self._rate.spend(now)
 
     def record_response_start(
         self, request: RequestId, report: EndpointLoadReport | None, now: float
