--- a/tests/test_gateway_coldness.py
+++ b/tests/test_gateway_coldness.py
@@ -20,7 +20,10 @@
     make_record,
     make_row,
 )
-from gateway_harness import GatewayHarness, make_response
+from coltsfootshift_platform.dialect import PlatformDialect
+from fleet_harness import Stream
+from gateway_harness import BOUNDS, GatewayHarness, NullDecoder, make_response
+from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.codec import decode_message, encode_message
 from coltsfootshift.gateway.cold_guard import MIN_SILENCE_SECONDS, ColdGuard
@@ -31,6 +34,7 @@
     plan_cold_shares,
 )
 from coltsfootshift.gateway.endpoint_rate import ColdShare
+from coltsfootshift.gateway.entry_node import GatewayEntry
 from coltsfootshift.gateway.entry_view import (
     LATE_SEED_SECONDS,
     LONG_MEMORY_SECONDS,
@@ -40,6 +44,7 @@
     SeedContact,
 )
 from coltsfootshift.gateway.model import ServiceSpec, Team
+from coltsfootshift.gateway.nodes import NodeConfig
 from coltsfootshift.gateway.placement import (
     EndpointState,
     Placement,
@@ -49,6 +54,7 @@
 from coltsfootshift.ids import FailureDomain, InstanceId, RequestId, TeamName
 from coltsfootshift.messages import ColdReport, ColdRow, EntryRow, WarmReport
 from coltsfootshift.metrics import Metrics
+from coltsfootshift.settings import Address
 
 WARM_REPORT = WarmReport([make_record().incarnation], 0.0)
 
@@ -469,3 +475,62 @@
     rows = [row for row in caplog.records if row.getMessage().startswith("endpoint ")]
     assert [row.getMessage() for row in rows] == ["endpoint cold", "endpoint warm"]
     assert harness.gateway.metrics.snapshot()["gauges"]["endpoints_cold"] == 0.0
+
+
+def make_entry(clock, number, seeds=()):
+    address = Address(f"10.0.0.{number}", 1)
+    name, domain = InstanceId(f"entry-{number}"), FailureDomain("a")
+    config = NodeConfig(name, address, "north", domain, seeds, 8.0, 3)
+    node = GatewayEntry(clock, config, NullDecoder(), PlatformDialect(), address, BOUNDS)
+    catalogue = make_cold_harness(10.0).tables.catalogue
+    node.tables.catalogue = catalogue
+    node.tables.endpoints[InstanceId("e-0")] = make_record()
+    node.gateway.refresh()
+    return node
+
+
+def run_node(node, clock, seconds):
+    for _ in range(round(seconds / 0.1)):
+        clock.advance(0.1)
+        node.gateway.cold.check(clock.seconds())
+
+
+@pytest.mark.parametrize(
+    ("seeds", "settled"), [((), True), (("10.0.0.1",), True), (("10.0.0.1", "10.0.0.2"), False)]
+)
+def test_entry_alone_settles_only_if_no_other_is_named(seeds, settled):
+    clock = MemoryReactorClock()
+    node = make_entry(clock, 1, tuple(Address(host, 1) for host in seeds))
+    run_node(node, clock, 9.0)
+    assert node.gateway.cold.view.settled == settled
+    assert node.roster.own.settled_count == int(settled)
+
+
+def test_entry_that_starts_hears_from_a_settled_one_what_is_warm():
+    clock = MemoryReactorClock()
+    old = make_entry(clock, 1)
+    run_node(old, clock, 9.0)
+    new = make_entry(clock, 2, (Address("10.0.0.1", 1),))
+    record = make_record()
+    assert new.gateway.cold.find_share(record, clock.seconds()) is not None
+    streams = {old: Stream(peer_id="entry-2"), new: Stream(peer_id="entry-1")}
+    for node in (old, new):
+        node.fleet.stream_opened(streams[node])
+    for message in [decode_message(encode_message(m)) for m in streams[old].sent]:
+        new.fleet.stream_received(streams[new], message)
+    run_node(new, clock, 0.2)
+    assert new.gateway.cold.find_share(record, clock.seconds()) is None
+    assert not new.gateway.cold.view.settled
+    run_node(new, clock, SETTLE_SECONDS + 0.3)
+    assert new.gateway.cold.view.settled and new.roster.own.settled_count == 2
+
+
+def test_report_that_was_long_on_its_way_warms_nothing():
+    clock = MemoryReactorClock()
+    node = make_entry(clock, 2, (Address("10.0.0.1", 1),))
+    stream = Stream(peer_id="entry-1")
+    stream.transit_delay = stream.max_transit_seconds = 0.6
+    node.fleet.stream_opened(stream)
+    node.fleet.stream_received(stream, WARM_REPORT)
+    run_node(node, clock, 0.2)
+    assert node.gateway.cold.find_share(make_record(), clock.seconds()) is not None
--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -8,11 +8,11 @@
 import pytest
 from coltsfootshift_platform.engines import HttpEngine, HttpOrigin
 from coltsfootshift_platform.items import StoreItemDecoder
-from coltsfootshift_platform.settings import parse_address
+from coltsfootshift_platform.settings import load_platform_settings, parse_address
 from hypothesis import given
 from hypothesis import strategies as st
 from odd_values import DEEP, ENTRIES, HUGE, PARTS, REPORTS, make_entry, write_entry
-from platform_standins import make_config
+from platform_standins import make_config, make_settings, write_settings
 from twisted.internet.task import Clock
 
 from coltsfootshift.gateway.engines import PortError
@@ -137,6 +137,18 @@
     assert cold == (None if service is None else (service.cold_seconds, service.cold_rate))
 
 
+@pytest.mark.parametrize(
+    ("bounds", "read"),
+    [({}, (1.0, 0.0)), ({"cold_excess": 1.5, "cold_slack": 5}, (1.5, 5.0))],
+    ids=["none", "both"],
+)
+def test_settings_name_the_bound_of_cold_endpoints(tmp_path, bounds, read):
+    fields = make_settings("entry", ORIGIN, [81, 82, 83, 84, 90, 99], [])
+    fields["bounds"] = {**fields["bounds"], **bounds}
+    settings = load_platform_settings(write_settings(tmp_path / "entry.toml", fields))
+    assert (settings.cold_excess, settings.cold_allowance) == read
+
+
 @pytest.mark.parametrize("milliseconds", [0, 1500, 2750.5])
 def test_entry_says_for_how_long_its_engine_is_cold(milliseconds):
     entry = make_item("servers/e-1", write_entry(cold_ms=milliseconds))
