--- a/src/coltsfootshift/gateway/cold_guard.py
+++ b/src/coltsfootshift/gateway/cold_guard.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Container, Iterable, Mapping
+from math import inf
 
 from coltsfootshift.gateway.coldness import ColdCause, Coldness
 from coltsfootshift.gateway.endpoint_limits import (
@@ -100,6 +101,7 @@
             return False
         if not self._services:
             self.view.observe(now)
+            self._out_since = now
         self._changed |= self._services.get(spec.name) != spec
         self._services[spec.name] = spec
         if is_new and self._is_told_warm(record.incarnation, now):
@@ -248,7 +250,7 @@
             if spec is None or state.measure_silence(now) < MIN_SILENCE_SECONDS:
                 continue
             self._record(record, ColdCause.SILENCE, spec.cold_seconds, now)
-            if now - self._told_at.get(record.incarnation, 0.0) >= TELL_SECONDS:
+            if now - self._told_at.get(record.incarnation, -inf) >= TELL_SECONDS:
                 self._told_at[record.incarnation] = now
                 rows.append(ColdRow(record.incarnation, spec.cold_seconds))
         if rows and self.notify_peers is not None:
--- a/src/coltsfootshift/gateway/entry_view.py
+++ b/src/coltsfootshift/gateway/entry_view.py
@@ -15,8 +15,10 @@
 SETTLE_SECONDS = 1.5
 # A seed that does not answer for so long is probably lost, and not only late to start.
 LATE_SEED_SECONDS = 5.0
-# A process that stood still for longer may have missed entries that are sending by now.
+# A process that stood still for longer may have missed what made endpoints cold.
 MAX_PAUSE_SECONDS = 0.5
+# It may also have missed more entries than the reserve is for: they start within this time.
+MAX_SETTLED_PAUSE_SECONDS = 2.5
 # The longest partition after which its smaller side still keeps to its part.
 MEMORY_SECONDS = 60.0
 LONG_MEMORY_SECONDS = 600.0  # if so many are silent that this entry may be on the smaller side
@@ -80,7 +82,7 @@
         return self._live_count == 1 and len(self.names) > 1
 
     def observe(self, now: float) -> bool:
-        """Note that the process runs; return whether it has stood still and is unsettled now.
+        """Note that the process runs; return whether it has stood still.
 
         It is called before anything is sent: a process that wakes up may read callers' requests
         before its periodic task runs.
@@ -91,7 +93,8 @@
             return False
         for name in self._heard_at:
             self._heard_at[name] += pause
-        self._unsettle(now)
+        if not self.settled or pause > MAX_SETTLED_PAUSE_SECONDS:
+            self._unsettle(now)
         return True
 
     def update(self, rows: Iterable[EntryRow], seeds: SeedContact, now: float) -> bool:
