--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -12,6 +12,7 @@
 
 from coltsfootshift.controllers.contacts import ContactChooser, Preference
 from coltsfootshift.gateway.beliefs import BeliefAnswer
+from coltsfootshift.gateway.entry_view import SeedContact
 from coltsfootshift.gateway.item_values import (
     EncodedValue,
     UndecodableValueError,
@@ -29,6 +30,7 @@
 from coltsfootshift.ids import InstanceId, Purpose, Role
 from coltsfootshift.logs import get_logger
 from coltsfootshift.messages import (
+    ColdReport,
     EndpointLimitReport,
     EngineNotice,
     EntryList,
@@ -44,6 +46,7 @@
     TableItem,
     TableRevision,
     TableRevisions,
+    WarmReport,
 )
 from coltsfootshift.settings import Address
 from coltsfootshift.streams import Dialer, PeerStream, StreamContext, StreamOwner
@@ -60,6 +63,8 @@
 STORE_ANSWER_SECONDS = 0.2
 # An entry of the own region passes on what one of them has requested from another region.
 NEAR_ANSWER_SECONDS = 0.2
+# Of news that an endpoint is warm: it may have become cold since.
+MAX_WARM_DELAY_SECONDS = 0.5
 MIN_WAIT_SECONDS = 0.01  # shorter ones are over, whatever rounding leaves of them
 MAX_PEERS = 32  # heartbeats go to every peer; larger fleets need relays (docs/CAPACITY.md)
 ENTRIES_PER_AGENT = 2  # connections of an agent, so that it tolerates the loss of one entry
@@ -172,6 +177,14 @@
         self._seeds = seeds
         self._choose_peers()
 
+    def find_seed_contact(self) -> SeedContact:
+        """Return how many of the seeds are live entries, this one included."""
+        known = {Address(row.host, row.peer_port) for row in self._roster.list_rows()}
+        missing = sum(seed not in known for seed in self._seeds)
+        if not missing:
+            return SeedContact.ALL
+        return SeedContact.MOST if 2 * missing < len(self._seeds) else SeedContact.FEW
+
     def list_entries(self) -> EntryList:
         """Return the known entries, for a process that has no connection to any."""
         return EntryList(self._roster.list_rows())  # without ages: it is for finding any entry
@@ -267,7 +280,7 @@
             self._apply_changes(stream, message)
         elif isinstance(message, EngineNotice):
             self._observer.engine_status_received(message, stream.transit_delay)
-        elif isinstance(message, (SuspicionReport, EndpointLimitReport)):
+        elif isinstance(message, (SuspicionReport, EndpointLimitReport, ColdReport, WarmReport)):
             self._receive_belief(stream, message)
         elif not isinstance(message, Leaving):
             stream.abort(f"sent {type(message).__name__} on a stream of the fleet")
@@ -280,6 +293,10 @@
         """Merge a report and pass on what was news: not all processes are connected."""
         if isinstance(message, EndpointLimitReport):
             message = _add_transit(message, stream.transit_delay)
+        elif isinstance(message, ColdReport):
+            message = _take_transit(message, stream.transit_delay)
+        elif isinstance(message, WarmReport) and stream.transit_delay > MAX_WARM_DELAY_SECONDS:
+            return
         answer = self._observer.belief_received(message, stream.peer_id)
         if answer.reply is not None:
             stream.send(answer.reply)
@@ -727,6 +744,12 @@
     return msgspec.structs.replace(report, rows=rows)
 
 
+def _take_transit(report: ColdReport, seconds: float) -> ColdReport:
+    """Return a report whose remaining times are less by how long it was on its way."""
+    rows = [msgspec.structs.replace(r, seconds=max(0.0, r.seconds - seconds)) for r in report.rows]
+    return msgspec.structs.replace(report, rows=rows)
+
+
 def make_entry_row(
     instance: InstanceId,
     started_ms: int,
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -32,6 +32,7 @@
     LimitCheck,
     RouteCheck,
 )
+from coltsfootshift.gateway.cold_guard import ColdGuard
 from coltsfootshift.gateway.crashes import Suspect
 from coltsfootshift.gateway.endpoint_limits import compute_share
 from coltsfootshift.gateway.endpoint_list import EngineStatus
@@ -161,6 +162,9 @@
             bounds.budget_ratio, bounds.budget_allowance, bounds.budget_window, reactor.seconds()
         )
         self._states: dict[InstanceId, EndpointState] = {}
+        excess = (bounds.cold_excess, bounds.cold_allowance)
+        self.cold = ColdGuard(*excess, self._states, metrics, reactor.seconds())
+        self.cold.list_evacuated = tables.evacuations.list_out
         self._pools: dict[InstanceId, ConnectionPool] = {}
         self._by_service: dict[ServiceName, list[EndpointState]] = {}
         self._queues: dict[ServiceName, ServiceQueue] = {}
@@ -267,18 +271,19 @@
             self._pools.pop(name).close()
         self._by_service = by_service
         now = self.reactor.seconds()
-        ended = self._evacuation_monitor.update(now)
+        for domain in self._evacuation_monitor.update(now):
+            self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
         self._evacuation_monitor.refuse_unserved(
             self._queues, self._list_prospects, self._entry_count, now
         )
-        for domain in ended:
-            self._evacuation_ended(domain, now)
 
     def handle_request(self, incoming: IncomingRequest) -> None:
         """Check a request, then place it on an endpoint or queue it, or respond with a refusal."""
         now = self.reactor.seconds()
         self.metrics.count("calls")
+        if self.cold.check(now):
+            self.apply_limits()
         try:
             head = self._dialect.parse_request(incoming.method, incoming.target, incoming.headers)
         except RequestError as error:
@@ -415,6 +420,7 @@
         self._load_reports.record(state, head.load)
         now = self.reactor.seconds()
         name, service = state.record.incarnation, state.record.service
+        self.cold.record_word(state.record, head.cold_for, now)
         if head.status == STATUS_UNAVAILABLE and head.retry_after is not None:
             self._notices.record_pause(name, head.request, now + head.retry_after, now)
             current = self._states.get(state.record.endpoint)  # the record may have been replaced
@@ -511,6 +517,8 @@
         """Use the endpoints of a failure domain again whose evacuation has ended."""
         states = [s for s in self._states.values() if s.record.failure_domain == domain]
         logger.info("endpoints used again", extra={"domain": domain, "endpoints": len(states)})
+        self.cold.record_evacuation_end(domain, now)
+        self.apply_limits()
 
     def _judge_loss(self, name: str) -> None:
         """Record the end of an endpoint that has closed all of this entry's connections."""
@@ -535,12 +543,13 @@
 
     def _apply_limit(self, state: EndpointState, now: float) -> None:
         limit = self.beliefs.limits.get_rate(state.record.incarnation)
-        if limit is None and state.rate_limit is None:
+        cold = self.cold.find_share(state.record, now)
+        if limit is None and state.rate_limit is None and cold is None:
             return
         share = 0.0
         if limit is not None:
             share = compute_share(limit, state.record.endpoint, self._own, self._entries)
-        state.limit_rate(limit, share, now)
+        state.limit_rate(limit, share, now, cold)
 
     def _answer_unfinished(self) -> None:
         """End the requests without a response; responses that have begun may still complete."""
@@ -557,17 +566,21 @@
         ):
             self._pools.pop(name).close()
             state = None
+        now = self.reactor.seconds()
+        turned_cold = self.cold.record_endpoint(record, spec, state is None, now)
         if state is None:
             state = EndpointState(record, spec.engine, self._rng)
             self._states[name] = state
             state.paused_until = self._notices.get_pause_end(record.incarnation)
-            self._apply_limit(state, self.reactor.seconds())
+            self._apply_limit(state, now)
             self._pools[name] = ConnectionPool(
                 self.reactor, record.address, self._dialect, self._source
             )
             count_no_answer = partial(self.metrics.count, "answers_not_http")
             self._pools[name].count_no_answer = count_no_answer
         state.update_record(record)
+        if turned_cold:
+            self._apply_limit(state, now)
         state.spec = spec.engine
         share = int(CONNECTION_SHARE * spec.max_connections / self._entry_count)
         self._pools[name].max_open = max(1, share)
@@ -682,7 +695,8 @@
     ) -> EndpointState | None:
         open_states = [s for s in states if not self._pools[s.record.endpoint].full]
         late = self._is_likely_retry(exchange) and self._find_turn(exchange) is not Turn.INTERRUPTED
-        return self._placement.choose(open_states, exchange.size, avoided, late, now)
+        priority = exchange.admission.priority
+        return self._placement.choose(open_states, exchange.size, avoided, late, now, priority)
 
     def _try_spend(self, exchange: Exchange, now: float) -> bool:
         """Take a retry from the budget; others leave some of it to those with a claim."""
@@ -732,6 +746,7 @@
             version=exchange.version or (served if min_version else None),
             resume_after=exchange.resume_after,
         )
+        self.cold.count_sent(state)
         head, body = admission.head, exchange.incoming.body
         headers = self._dialect.build_attempt_headers(head, terms, len(body))
         logger.info(
@@ -780,6 +795,7 @@
             reason = self._homes.explain(exchange.homes, "no endpoint serves the request", now)
             exchange.refuse(NotRun(reason, retry_after=retry_after))
             return
+        self.cold.count_put_off(states)
         queued = QueuedRequest(
             exchange,
             admission.priority,
@@ -892,7 +908,7 @@
             self._pools_checked_at = now
             for pool in self._pools.values():
                 pool.close_expired(now)
-        if self.beliefs.limits.remove_expired(now):
+        if self.cold.check(now) or self.beliefs.limits.remove_expired(now):
             self.apply_limits()
         if self.tables.remove_expired(now):
             self.refresh()
--- a/src/coltsfootshift/messages/__init__.py
+++ b/src/coltsfootshift/messages/__init__.py
@@ -22,6 +22,8 @@
 )
 from coltsfootshift.messages.gateway import (
     ChunkDigests,
+    ColdReport,
+    ColdRow,
     CrashRow,
     EndpointLimitReport,
     EndpointLimitRow,
@@ -38,6 +40,7 @@
     TableItem,
     TableRevision,
     TableRevisions,
+    WarmReport,
 )
 from coltsfootshift.messages.tables import (
     Difference,
@@ -90,6 +93,8 @@
     "Credit",
     "Difference",
     "ChunkDigests",
+    "ColdReport",
+    "ColdRow",
     "CrashRow",
     "EndpointLimitReport",
     "EndpointLimitRow",
@@ -140,4 +145,5 @@
     "VersionedRecord",
     "ViewAnnounced",
     "VoidTicket",
+    "WarmReport",
 ]
--- a/tests/test_outside_values.py
+++ b/tests/test_outside_values.py
@@ -10,11 +10,11 @@
 import pytest
 from coltsfootshift_platform.engines import HttpEngine, HttpOrigin
 from coltsfootshift_platform.items import StoreItemDecoder
-from coltsfootshift_platform.settings import parse_address
+from coltsfootshift_platform.settings import load_platform_settings, parse_address
 from hypothesis import given
 from hypothesis import strategies as st
 from odd_values import DEEP, ENTRIES, HUGE, PARTS, REPORTS, make_entry, write_entry
-from platform_standins import KEY, make_config
+from platform_standins import KEY, make_config, make_settings, write_settings
 from twisted.internet.task import Clock
 
 from coltsfootshift.gateway.checks import Admission, KeyCheck, RouteCheck
@@ -165,6 +165,49 @@
     assert find_homes(tables.catalogue, admission) == NOWHERE
 
 
+@pytest.mark.parametrize(
+    ("change", "cold"),
+    [
+        ({}, (0.0, 0.0)),
+        ({"cold_s": 3, "cold_per_s": 17.0}, (3.0, 17.0)),
+        ({"cold_s": 3}, (3.0, 0.0)),
+        ({"cold_s": 3, "cold_per_s": -1}, None),
+        ({"cold_s": "3", "cold_per_s": 17}, None),
+        ({"cold_s": HUGE, "cold_per_s": 17}, None),
+        ({"cold_s": None, "cold_per_s": 17}, None),
+    ],
+    ids=lambda value: str(value)[:40],
+)
+def test_service_says_how_cold_its_endpoints_are(change, cold):
+    """A service whose figures cannot be read is left out: it must not be taken for a warm one."""
+    config = make_config(7, ORIGIN)
+    name = config["services"][0]["name"]
+    config["services"][0].update(change)
+    catalogue = StoreItemDecoder().read_catalogue(make_item("op/config", config))
+    assert catalogue is not None
+    service = catalogue.services.get(name)
+    assert cold == (None if service is None else (service.cold_seconds, service.cold_rate))
+
+
+@pytest.mark.parametrize(
+    ("bounds", "read"),
+    [({}, (1.0, 0.0)), ({"cold_excess": 1.5, "cold_slack": 5}, (1.5, 5.0))],
+    ids=["none", "both"],
+)
+def test_settings_name_the_bound_of_cold_endpoints(tmp_path, bounds, read):
+    fields = make_settings("entry", ORIGIN, [81, 82, 83, 84, 90, 99], [])
+    fields["bounds"] = {**fields["bounds"], **bounds}
+    settings = load_platform_settings(write_settings(tmp_path / "entry.toml", fields))
+    assert (settings.cold_excess, settings.cold_allowance) == read
+
+
+@pytest.mark.parametrize("milliseconds", [0, 1500, 2750.5])
+def test_entry_says_for_how_long_its_engine_is_cold(milliseconds):
+    entry = make_item("servers/e-1", write_entry(cold_ms=milliseconds))
+    record = StoreItemDecoder().read_endpoint(entry)
+    assert record is not None and record.cold_for == milliseconds / 1000
+
+
 @pytest.mark.parametrize("keys", [[], None], ids=["empty", "null"])
 def test_team_without_keys_leaves_the_catalogue_in_force(keys):
     config = make_config(7, ORIGIN)
