--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -23,9 +24,10 @@
     respond,
 )
 
+from coltsfootshift.gateway.model import ServiceSpec
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer
 from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, SlotForecast, Turn
-from coltsfootshift.ids import FailureDomain
+from coltsfootshift.ids import FailureDomain, ServiceName
 
 
 class Decoder(NullDecoder):
@@ -281,6 +283,27 @@
     assert read_gauge(harness, "failure_domains_evacuated") == 0.0
 
 
+@pytest.mark.parametrize(("cold_rate", "placed"), [(10.0, 0), (0.0, 4)], ids=["cold", "no rate"])
+def test_what_waits_for_the_end_of_an_evacuation_does_not_crash_cold_endpoints(cold_rate, placed):
+    """What waits is placed at the moment at which the domain is back, when it may be cold."""
+    harness = make_harness("a")
+    spec = ServiceSpec(ServiceName("s"), 100, cold_seconds=3.0, cold_rate=cold_rate)
+    catalogue = harness.tables.catalogue
+    services = {**catalogue.services, spec.name: spec}
+    harness.tables.catalogue = replace(catalogue, services=services)
+    harness.gateway.cold.view.settled = True
+    harness.gateway.refresh()
+    for _ in range(200):  # until all that starts cold is warm
+        advance(harness, 0.02)
+    evacuate(harness, "a")
+    advance(harness, 1.0)
+    harness.gateway._list_prospects = lambda exchange, now: list(harness.gateway._states.values())
+    send_many(harness, 4)
+    take_back(harness, "a")
+    arrivals = Arrivals(harness)
+    assert len(arrivals.take_receivers()) == placed
+
+
 def test_evacuation_that_the_store_lost_ends_without_another_answer():
     """Nothing else may tell the entry that the time to write it again is over."""
     harness = make_harness("a", "b")
