Cold endpoints: what was dark warms up everywhere, and few that are cut off vouch for nobody

- An entry that may not send to a cold endpoint could not find out that it was back, and told all peers every 0.5 s that it was silent: after 20 s it was cold for all of 13 and 40 entries (test_endpoints_that_were_dark_are_warm_again_everywhere).
Silence without a request and a recent ejection says nothing any more, and is no reason to call it warm either.
- An entry that was cut off with others announced how few it heard, by which those that restarted there settled and took larger shares: 33 to 37 requests in a second at 60 entries.
It announces a count only while it hears most of those it knows.
- A process that wakes looks at what it missed before it sends again what it lost.
- A service that gets its cold rate back is cold; a peer's word counts for the cold time of the service at most; what peers call warm is bounded; absence is recorded every 0.1 s, not with each request.

--- a/src/coltsfootshift/gateway/cold_guard.py
+++ b/src/coltsfootshift/gateway/cold_guard.py
@@ -68,6 +68,7 @@
         self._services: dict[ServiceName, ServiceSpec] = {}
         self._changed = False
         self._checked_at = self._view_checked_at = self._out_since = now
+        self._absence_recorded_at = -inf
         self._told_at: dict[str, float] = {}
         self._known_warm: dict[str, float] = {}
         metrics.add_gauge("endpoints_cold", lambda: float(len(self._coldness)))
@@ -98,6 +99,7 @@
         """
         if not (spec.cold_rate > 0.0 and spec.cold_seconds > 0.0):
             self._changed |= self._services.pop(spec.name, None) is not None
+            self._coldness.forget(record.incarnation)
             return False
         if not self._services:
             self.view.observe(now)
@@ -129,13 +131,13 @@
 
     def receive(self, report: ColdReport, now: float) -> ColdReport | None:
         """Take in what a peer has found; return what other peers may not have heard of."""
-        tracked = {record.incarnation: record for record, _ in self._list_tracked()}
+        tracked = {record.incarnation: (record, spec) for record, spec in self._list_tracked()}
         news = []
         for row in report.rows:
-            record = tracked.get(row.endpoint)
-            seconds = min(row.seconds, MAX_TOLD_SECONDS)
-            if record is None or seconds <= 0.0:
+            record, spec = tracked.get(row.endpoint, (None, None))
+            if record is None or spec is None or row.seconds <= 0.0:
                 continue
+            seconds = min(row.seconds, spec.cold_seconds)
             known = self._coldness.get(row.endpoint)
             was_until = known.until if known is not None else now
             self._record(record, ColdCause.PEER, seconds, now)
@@ -155,7 +157,7 @@
         names, evacuated = [], self.list_evacuated()
         for state in self._states.values():
             name = state.record.incarnation
-            if state.record.service not in self._services or state.measure_silence(now) > 0.0:
+            if state.record.service not in self._services or state.ejected:
                 continue
             if state.record.failure_domain in evacuated:
                 continue
@@ -169,6 +171,8 @@
         Load pattern: part of the fleet restarts under load. It would serve next to nothing until
         what it does not know has become warm, while the others, who do know, take its callers.
         """
+        if len(self._known_warm) > MAX_TOLD_WARM:
+            self._known_warm.clear()
         for name in report.endpoints[:MAX_TOLD_WARM]:
             self._known_warm[name] = now
             self._changed |= self._coldness.record_warm(name, now)
@@ -229,6 +233,9 @@
             self._known_warm.clear()
         if not is_out or now - self._out_since > MAX_ABSENCE_SECONDS:
             return
+        if not paused and now - self._absence_recorded_at < VIEW_CHECK_SECONDS:
+            return
+        self._absence_recorded_at = now
         for record, spec in self._list_tracked():
             if not self._is_told_warm(record.incarnation, now):
                 self._record(record, ColdCause.ABSENCE, spec.cold_seconds, now)
--- a/src/coltsfootshift/gateway/coldness.py
+++ b/src/coltsfootshift/gateway/coldness.py
@@ -155,6 +155,11 @@
             del self._cold[item.incarnation]
         return warm
 
+    def forget(self, incarnation: str) -> None:
+        """Drop what is known of an endpoint whose service has no cold rate."""
+        self._cold.pop(incarnation, None)
+        self._record_words.pop(incarnation, None)
+
     def keep_only(self, incarnations: set[str]) -> None:
         """Drop what is known of incarnations that no record names any more."""
         for known in (self._cold, self._record_words):
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -273,7 +273,7 @@
         """Return the live entries and the contact with the seeds; announce what this one knows."""
         own, view = self.roster.own, self.gateway.cold.view
         assert own is not None
-        count = view.live_count if view.settled else 0
+        count = view.live_count if view.settled and view.hears_most else 0
         if own.settled_count != count:
             self.roster.own = msgspec.structs.replace(own, settled_count=count)
             if not own.settled_count or not count:
--- a/src/coltsfootshift/gateway/entry_view.py
+++ b/src/coltsfootshift/gateway/entry_view.py
@@ -84,6 +84,14 @@
         count = len(self.names)
         return count > 1 and self._live_count <= max(1.0, ISOLATED_SHARE * count)
 
+    @property
+    def hears_most(self) -> bool:
+        """Whether more than half of the remembered entries are heard.
+
+        So no other part of the fleet is as large, and an entry that starts may go by this one.
+        """
+        return 2 * self._live_count > len(self.names)
+
     def observe(self, now: float) -> bool:
         """Note that the process runs; return whether it has stood still.
 
--- a/src/coltsfootshift/gateway/placement.py
+++ b/src/coltsfootshift/gateway/placement.py
@@ -314,8 +314,15 @@
         self._eject(now)
 
     def measure_silence(self, now: float) -> float:
-        """Return for how many seconds an ejected endpoint has been silent, 0 if it is not."""
-        return 0.0 if self._silent_since is None else now - self._silent_since
+        """Return for how many seconds an ejected endpoint has been silent, 0 if it is not.
+
+        Without a request there and a recent ejection nothing is known of it any more.
+        """
+        if self._silent_since is None:
+            return 0.0
+        if not self._in_flight and now > self._ejected_at + MAX_BACKOFF_SECONDS:
+            return 0.0
+        return now - self._silent_since
 
     def _eject(self, now: float) -> None:
         self._ejected_at = now
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -886,6 +886,8 @@
         # open then, on which nothing may be sent that is to be withdrawn.
         self._withdraw_outdated(now, only_unsent=True)
         self._follow_homes(now)
+        if self.cold.check(now):
+            self.apply_limits()
         self.reactor.callLater(0, self._check_requests)
 
     def _check_requests(self) -> None:
--- a/tests/cold_fleet.py
+++ b/tests/cold_fleet.py
@@ -93,7 +93,7 @@
         if 2 * missing < len(self.fleet.seeds):
             contact = SeedContact.MOST if missing else SeedContact.ALL
         view = self.guard.view
-        count = view.live_count if view.settled else 0
+        count = view.live_count if view.settled and view.hears_most else 0
         self.roster.own = replace_row(self.roster.own, settled_count=count)
         return self.roster.list_rows(), contact
 
--- a/tests/test_gateway_coldness.py
+++ b/tests/test_gateway_coldness.py
@@ -23,6 +23,7 @@
 from coltsfootshift_platform.dialect import PlatformDialect
 from fleet_harness import Stream
 from gateway_harness import BOUNDS, GatewayHarness, NullDecoder, make_response
+from twisted.internet.error import ConnectionLost
 from twisted.internet.testing import MemoryReactorClock
 
 from coltsfootshift.codec import decode_message, encode_message
@@ -402,6 +403,40 @@
         assert sum(at >= 8.0 for at in endpoint.arrivals) >= 0.8 * RATE * 2.0
 
 
+@pytest.mark.parametrize("count", [13, 40])
+def test_endpoints_that_were_dark_are_warm_again_everywhere(count):
+    """Some entries may not send to a cold endpoint, and so cannot find out that it is back."""
+    fleet = Fleet(7, count, endpoint_count=4, calm=True).run(6.0)
+    for name in fleet.endpoints:
+        fleet.darken(6.0, name)
+    fleet.run(20.0, since=6.0)
+    assert fleet.count_most() <= BOUND
+    for endpoint in fleet.endpoints.values():
+        incarnation = endpoint.record.incarnation
+        for entry in fleet.entries.values():
+            assert not entry.guard._coldness.is_cold(incarnation, 20.0)
+
+
+@pytest.mark.parametrize(
+    ("count", "cut", "restarted"), [(60, 2, 1), (60, 6, 5), (13, 2, 1), (13, 6, 5)]
+)
+def test_entries_that_restart_while_cut_off_with_another_take_no_larger_share(
+    count, cut, restarted
+):
+    """The one that goes on knows all, but hears only those few; they settle by its word."""
+    fleet = Fleet(3, count, calm=True)
+    fleet.seeds = fleet.names[-3:]
+    fleet.run(4.0)
+    group = fleet.names[:cut]
+    fleet.cut = set(group)
+    for name in group[:restarted]:
+        fleet.plan(4.2, fleet.start, name)
+    for endpoint in list(fleet.endpoints):
+        fleet.plan(9.0, fleet.replace_endpoint, endpoint)
+    fleet.run(13.0, since=4.0)
+    assert fleet.count_most() <= BOUND
+
+
 # The gateway
 
 
@@ -470,6 +505,34 @@
     assert len(pump(harness, 0.02)) + (b"r-" in first.value()) >= 5
 
 
+def test_waking_entry_takes_no_endpoint_for_warm_before_it_has_read_anything():
+    """Connections that were lost meanwhile are read first, and their requests sent again."""
+    harness = make_cold_harness(5.0, endpoints=2)
+    pump(harness, 4.5)
+    for number in range(16):
+        harness.send_request(key="key-0", request=f"r-{number}")
+    links = [(dial[1], harness.accept()) for dial in list(harness.clock.tcpClients)]
+    assert links
+    dialled = len(harness.clock.tcpClients)
+
+    def lose_first():
+        for port, transport in links:
+            if port == 80:
+                transport.disconnect(ConnectionLost())
+
+    harness.stand_still(0.8, lose_first)
+    assert len(harness.clock.tcpClients) - dialled <= 1
+
+
+def test_endpoint_of_a_service_that_gets_its_cold_rate_back_is_not_taken_for_warm():
+    guard = ColdGuard(EXCESS, ALLOWANCE, {}, Metrics(), 0.0)
+    guard.view.settled = True
+    for now, rate in ((0.0, RATE), (10.0, 0.0), (100.0, RATE)):
+        spec = replace(SPEC, cold_rate=rate)
+        guard.record_endpoint(make_record(), spec, now == 0.0, now)
+        assert (guard.find_share(make_record(), now) is not None) == bool(rate)
+
+
 def test_service_without_a_cold_rate_is_served_as_before(caplog):
     logging.disable(logging.NOTSET)
     caplog.set_level(logging.INFO)
