Pauses of slow callers, rows read at wake-up, and unsent bytes: three faults found by review

- One pause of a second in an answer counted to its end: a complete answer without length was reset or run again later, and an endpoint that ended was not noticed.
It counts no more once the endpoint has gone on for a second (test_slow_readers.py).
- A busy process that wakes reads before its timers run, so that rows that had waited counted as new and were then extended by the freeze: an ended entry was named for 11 s where 6 are allowed.
Rows are extended before they are read, and not into the future; the tests of rows run with both orders (test_directory_rows.py).
- Bytes of an answer in progress behind a complete one were counted twice.
- Children of two tests took the package of the installed checkout; they take the sources beside them.

--- a/src/coltsfootshift/gateway/callers.py
+++ b/src/coltsfootshift/gateway/callers.py
@@ -263,8 +263,12 @@
         return self._closing or not self._is_idle()
 
     def count_unsent(self) -> int:
-        """Return how many bytes of answers wait to be sent."""
-        return count_unsent(self.transport)
+        """Return how many bytes of complete answers wait to be sent.
+
+        Those of the answer in progress are behind them, and its exchange counts them.
+        """
+        unsent = count_unsent(self.transport)
+        return unsent if self._request is None else max(0, unsent - self._answer_bytes)
 
     def is_handling(self, request: IncomingRequest) -> bool:
         """Return whether the response to a request is not complete yet."""
@@ -535,7 +539,7 @@
                 self._continue_later(0.0)
                 return
             most_unsent = MIN_BODY_BYTES if self._unsent.full else MAX_UNSENT_BYTES
-            if self._head is None and self.count_unsent() > most_unsent:
+            if self._head is None and count_unsent(self.transport) > most_unsent:
                 self._continue_later(UNSENT_CHECK_SECONDS)
                 return
             try:
--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -112,8 +112,8 @@
     A stream progresses with its head and with each complete event that carries something new, a
     plain response with all bytes. An attempt without a response is taken to progress until the
     response is expected. `unproductive_since` is when the first bytes arrived that have brought no
-    progress so far. `unread_seconds` is for how long the response was once left unread, since its
-    caller was slow.
+    progress so far. `unread_seconds` is for how long the response was left unread, since its caller
+    was slow, and zero once the endpoint has gone on after that.
     """
 
     def __init__(self, exchange: Exchange, state: EndpointState) -> None:
@@ -202,6 +202,7 @@
         self._failure: ResponseHead | None = None
         self._blocked = False
         self._blocked_at = 0.0
+        self._unblocked_at = 0.0
         self._is_streaming = self.route.kind is RouteKind.STREAMING
         reactor = owner.reactor
         self._deadline_timer = reactor.callLater(
@@ -379,6 +380,8 @@
     def handle_data(self, attempt: _Attempt, data: bytes) -> None:
         """Handle bytes of a response body."""
         attempt.last_received_at = self._owner.reactor.seconds()
+        if not self._blocked and attempt.last_received_at - self._unblocked_at >= UNREAD_SECONDS:
+            attempt.unread_seconds = 0.0  # the endpoint goes on, so that it has not cut it off
         if not self._is_streaming:
             attempt.record_progress(attempt.last_received_at)
         elif attempt.unproductive_since is None:
@@ -694,6 +697,7 @@
                 attempt.unread_seconds = max(attempt.unread_seconds, unread)
             attempt.record_progress(now)
         self._blocked = False
+        self._unblocked_at = now
         self._held.release_unsent()
         if self._outbound is not None:
             self._outbound.resume()
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -308,7 +308,7 @@
 
     def _tick(self) -> None:
         now = self._context.reactor.seconds()
-        self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS), now)
+        self._catch_up(now)
         self._ticked_at = now
         silent = self._roster.remove_silent(now)
         for name in silent:
@@ -319,6 +319,14 @@
             self._observer.roster_changed()
         self._announce_periodically()
 
+    def _catch_up(self, now: float) -> None:
+        """Allow the entries the time for which this process stood still.
+
+        A busy process reads what has arrived meanwhile before its timers run.
+        """
+        self._roster.extend(max(0.0, now - self._ticked_at - TICK_SECONDS), now)
+        self._ticked_at = max(self._ticked_at, now - TICK_SECONDS)
+
     def _announce_periodically(self) -> None:
         """Announce that nothing has changed, to peers in other regions less often.
 
@@ -371,7 +379,9 @@
         return EntryList(rows, self._roster.measure_ages(rows, now))
 
     def _merge_roster(self, rows: list[EntryRow], ages_ms: list[float]) -> None:
-        changed = self._roster.merge(rows, self._context.reactor.seconds(), ages_ms)
+        now = self._context.reactor.seconds()
+        self._catch_up(now)
+        changed = self._roster.merge(rows, now, ages_ms)
         if not changed:
             return
         for row in changed:
--- a/src/coltsfootshift/gateway/roster.py
+++ b/src/coltsfootshift/gateway/roster.py
@@ -106,8 +106,8 @@
 
         The rows that it reads next may have waited for that long, which other processes are told.
         """
-        for name in self._last_seen:
-            self._last_seen[name] += seconds
+        for name, at in self._last_seen.items():
+            self._last_seen[name] = max(at, min(at + seconds, now))
         if now >= self._late_until:
             self._late_seconds = 0.0
         if seconds > self._late_seconds:
--- a/tests/test_directory_rows.py
+++ b/tests/test_directory_rows.py
@@ -88,7 +88,12 @@
 
 
 class SmallFleet:
-    """Some entries that are all connected, with faults that a test brings about."""
+    """Some entries that are all connected, with faults that a test brings about.
+
+    With `reads_first` a process reads before its timers run, as a busy one does when it wakes.
+    """
+
+    reads_first = False
 
     def __init__(self, count):
         self.now = 0.0
@@ -163,8 +168,13 @@
                 if process.ran_since is None:
                     process.ran_since = self.now
                 missed, process.missed_seconds = process.missed_seconds, 0.0
-                process.clock.advance(missed)
-                process.read()
+                if self.reads_first:
+                    process.clock.rightNow += missed
+                    process.read()
+                    process.clock.advance(0)
+                else:
+                    process.clock.advance(missed)
+                    process.read()
             self.check_named()
 
     def check_named(self):
@@ -175,6 +185,13 @@
                 assert self.now - self.ended_at[name] <= NAMED_SECONDS, (process.name, name)
 
 
+@pytest.fixture(scope="module", autouse=True, params=[False, True], ids=["timers", "reads"])
+def order_of_a_turn(request):
+    SmallFleet.reads_first = request.param
+    yield
+    SmallFleet.reads_first = False
+
+
 def test_process_that_wakes_does_not_bring_an_ended_entry_back():
     """All others named the ended entry again for three seconds after one that was frozen woke."""
     fleet = SmallFleet(4)
--- a/tests/test_endless_control_answers.py
+++ b/tests/test_endless_control_answers.py
@@ -105,7 +105,10 @@
         *(sys.executable, str(HERE / "endless_clients.py"), str(port), str(MOST_SECONDS)),
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
-        env={**os.environ, "PYTHONPATH": str(HERE.parent / "platform")},
+        env={
+            **os.environ,
+            "PYTHONPATH": os.pathsep.join(str(HERE.parent / name) for name in ("platform", "src")),
+        },
     )
     try:
         outcomes = await asyncio.wait_for(read_outcomes(process), PROCESS_MOST_SECONDS)
--- a/tests/test_endless_origin.py
+++ b/tests/test_endless_origin.py
@@ -27,7 +27,12 @@
     try:
         result = subprocess.run(
             [sys.executable, str(HERE / "endless_origin_clients.py"), port],
-            env={**os.environ, "PYTHONPATH": str(HERE.parent / "platform")},
+            env={
+                **os.environ,
+                "PYTHONPATH": os.pathsep.join(
+                    str(HERE.parent / name) for name in ("platform", "src")
+                ),
+            },
             stdout=subprocess.PIPE,
             timeout=PROCESS_SECONDS,
             check=True,
--- a/tests/test_slow_readers.py
+++ b/tests/test_slow_readers.py
@@ -5,7 +5,7 @@
 import tracemalloc
 
 import pytest
-from gateway_harness import GatewayHarness, make_chunk, make_event, make_response
+from gateway_harness import KEY, GatewayHarness, make_chunk, make_event, make_response
 from test_gateway_answers import read_status
 from twisted.internet.error import ConnectionDone, ConnectionLost
 
@@ -298,3 +298,52 @@
     harness.clock.advance(STALL_SECONDS)
     endpoint.disconnect(ConnectionLost())
     assert state.ejected
+
+
+def go_on(harness, endpoint, route, head, seconds):
+    """The endpoint goes on sending, and the caller reads all at once, for so many seconds."""
+    for n in range(4, 4 + int(seconds)):
+        harness.clock.advance(1.0)
+        data = make_event(n) if route != "book" else bytes(1000)
+        endpoint.protocol.dataReceived(make_chunk(data) if head == CHUNKED else data)
+
+
+@pytest.mark.parametrize("route", ["once", "book", "talk"])
+def test_complete_unframed_answer_whose_caller_paused_once_long_ago(route):
+    harness = GatewayHarness(endpoints=2)
+    caller, endpoint = leave_unread(harness, route, UNFRAMED, 1.1 * UNREAD_SECONDS)
+    read_on(caller)
+    go_on(harness, endpoint, route, UNFRAMED, 8)
+    endpoint.disconnect(ConnectionDone())
+    caller.dataBuffer = b""
+    harness.clock.advance(0.3)
+    assert caller.value().endswith(b"0\r\n\r\n") and not caller.aborted
+
+
+def test_engine_that_ends_long_after_a_pause_is_noticed():
+    harness = GatewayHarness(endpoints=1)
+    caller, endpoint = leave_unread(harness, "once", CHUNKED, 1.1 * UNREAD_SECONDS)
+    read_on(caller)
+    go_on(harness, endpoint, "once", CHUNKED, 8)
+    (state,) = harness.gateway._states.values()
+    endpoint.disconnect(ConnectionLost())
+    harness.clock.advance(1.0)
+    assert state.ejected, harness.gateway.metrics.get_count("answers_cut_unread")
+
+
+def test_bytes_of_a_stream_behind_a_complete_answer_count_once():
+    harness = GatewayHarness(endpoints=1)
+    caller, endpoint = begin(harness, "read")
+    answer(endpoint, bytes(LONG_BYTES))
+    lines = ["POST /once/x HTTP/1.1", "Host: host", "X-Attempt-Id: r-2", f"X-Api-Key: {KEY}"]
+    lines += ["Content-Length: 0", "", ""]
+    caller.protocol.dataReceived("\r\n".join(lines).encode())
+    target = harness.accept() or endpoint
+    event = b"id: 1\ndata: " + b"x" * 60_000 + b"\n\n"
+    target.protocol.dataReceived(make_response(chunked=True, request="r-2"))
+    if caller.producer is not None:
+        caller.producer.pauseProducing()
+    for _ in range(8):
+        target.protocol.dataReceived(make_chunk(event))
+    harness.clock.advance(0.2)
+    assert harness.gateway.held_bytes.size <= len(caller.dataBuffer)
