Forecast what waits after an evacuation by its homes

The queue now counts those that it keeps by the share of slots that they take, as on arrival. The test of ServiceQueue.recheck passes a crowd that counts each request as one, with the same rows.

--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -10,7 +10,7 @@
 from coltsfootshift.gateway.model import GatewayCatalogue
 from coltsfootshift.gateway.placement import EndpointState
 from coltsfootshift.gateway.table_cache import Table, TableCache
-from coltsfootshift.gateway.waiting import QueuedRequest, Turn
+from coltsfootshift.gateway.waiting import Crowd, QueuedRequest, Turn
 from coltsfootshift.ids import FailureDomain, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
@@ -209,6 +209,40 @@
         return not homes.anywhere
 
 
+class HomeCrowd(Crowd):
+    """The requests ahead in a queue, each counted by the share of the slots that it takes.
+
+    This answers an evacuation, or another loss of endpoints, while many requests wait for different
+    homes: counted as one crowd, they would be refused though each has a place in its own homes. It
+    counts by homes, of which there are few, and not by requests.
+    """
+
+    def __init__(self, rules: HomeRules, states: list[EndpointState], now: float) -> None:
+        self._rules = rules
+        self._states = states
+        self._now = now
+        self._counts: dict[Homes, int] = {}
+        self._shares: dict[tuple[Homes, Homes], float] = {}
+
+    def add(self, request: QueuedRequest) -> None:
+        """Add a request that is ahead of all that come after it."""
+        homes = self._rules.find(request.item.homes, self._now)
+        self._counts[homes] = self._counts.get(homes, 0) + 1
+
+    def count_ahead(self, request: QueuedRequest) -> float:
+        """Return by how many requests those ahead delay one; all by one if it may go anywhere."""
+        own = self._rules.find(request.item.homes, self._now)
+        if own.anywhere:
+            return sum(self._counts.values())
+        return sum(count * self._get_share(own, homes) for homes, count in self._counts.items())
+
+    def _get_share(self, own: Homes, homes: Homes) -> float:
+        pair = (own, homes)
+        if pair not in self._shares:
+            self._shares[pair] = self._rules.compute_share(self._states, own, homes)
+        return self._shares[pair]
+
+
 class HomeRules:
     """Selects the endpoints that are homes of a request at this moment.
 
@@ -322,13 +356,21 @@
         def weigh(other: QueuedRequest) -> float:
             homes = self.find(other.item.homes, now)
             if homes not in shares:
-                common = _sum_rates(self._select(states, own.intersect(homes)))
-                total = _sum_rates(self._select(states, homes))
-                shares[homes] = common / total if total > 0.0 else 0.0
+                shares[homes] = self.compute_share(states, own, homes)
             return shares[homes]
 
         return weigh
 
+    def make_crowd(self, states: list[EndpointState], now: float) -> HomeCrowd:
+        """Return an empty crowd for the queue of a service with these endpoints."""
+        return HomeCrowd(self, states, now)
+
+    def compute_share(self, states: list[EndpointState], own: Homes, other: Homes) -> float:
+        """Return which share of the slots at the `other` homes lies in the `own` ones."""
+        total = _sum_rates(self._select(states, other))
+        common = _sum_rates(self._select(states, own.intersect(other)))
+        return common / total if total > 0.0 else 0.0
+
     def explain(self, request: RequestHomes, otherwise: str, now: float) -> str:
         """Count and log that a request has no endpoint; return why, `otherwise` without homes."""
         homes = self.find(request, now)
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -275,7 +275,11 @@
             self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
         self._evacuation_monitor.refuse_unserved(
-            self._queues, self._list_prospects, self._entry_count, now
+            self._queues,
+            self._list_prospects,
+            lambda name: self._homes.make_crowd(self._by_service.get(name, []), now),
+            self._entry_count,
+            now,
         )
 
     def handle_request(self, incoming: IncomingRequest) -> None:
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from abc import ABC, abstractmethod
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from enum import IntEnum
@@ -12,7 +13,14 @@
 
 from coltsfootshift.outcomes import NotRun
 
-__all__ = ["QueuedRequest", "ServiceQueue", "SlotForecast", "Turn", "draw_retry_after"]
+__all__ = [
+    "Crowd",
+    "QueuedRequest",
+    "ServiceQueue",
+    "SlotForecast",
+    "Turn",
+    "draw_retry_after",
+]
 
 # Overload lasts longer than one slot takes to become free; an earlier retry would be refused too.
 MIN_RETRY_AFTER_SECONDS = 1.0
@@ -93,6 +101,18 @@
         return since + (count - freed) / max(self._min_rate, rate)
 
 
+class Crowd(ABC):
+    """The requests of a queue that are ahead of the next one, while all are gone through."""
+
+    @abstractmethod
+    def add(self, request: QueuedRequest) -> None:
+        """Add a request that is ahead of all that come after it."""
+
+    @abstractmethod
+    def count_ahead(self, request: QueuedRequest) -> float:
+        """Return by how many requests those ahead delay one."""
+
+
 class ServiceQueue:
     """The queued requests of one service, ordered by lateness, priority, turn and `latest`.
 
@@ -154,24 +174,26 @@
         self._heap = kept
 
     def recheck(
-        self, forecast: Callable[[Any], SlotForecast | None], now: float
+        self, forecast: Callable[[Any], SlotForecast | None], crowd: Crowd, now: float
     ) -> Iterator[tuple[QueuedRequest, NotRun]]:
         """Remove the requests that will get no place in time; yield them with refusals.
 
         Load pattern: a failure domain is emptied at a moment of full load, so that far more waits
         than the other endpoints take in time. `forecast` returns when places for an item come free,
-        or None if there will be none.
+        or None if there will be none. `crowd` counts what is kept.
         """
         kept: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
         for row in sorted(row for row in self._heap if row[-1].open):
             request = row[-1]
             slots = forecast(request.item)
-            wait = inf if slots is None else slots.find_wait(len(kept) + 1)
+            ahead = crowd.count_ahead(request)
+            wait = inf if slots is None else slots.find_wait(ahead + 1)
             if now + wait <= request.latest:
                 kept.append(row)
+                crowd.add(request)
                 continue
             request.open = False
-            reason = f"places were lost: {len(kept)} ahead, a place in {wait:.3f} s"
+            reason = f"places were lost: {ahead:g} ahead, a place in {wait:.3f} s"
             yield request, self._make_refusal(reason, request, wait, now)
         self._heap = kept
 
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -23,10 +23,11 @@
     remove_endpoint,
     respond,
 )
+from test_gateway_homes import HomesHarness
 
 from coltsfootshift.gateway.model import ServiceSpec
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer
-from coltsfootshift.gateway.waiting import QueuedRequest, ServiceQueue, SlotForecast, Turn
+from coltsfootshift.gateway.waiting import Crowd, QueuedRequest, ServiceQueue, SlotForecast, Turn
 from coltsfootshift.ids import FailureDomain, ServiceName
 
 
@@ -187,6 +188,19 @@
     assert harness.gateway._count_waiting() == waiting > 90
 
 
+def test_evacuation_elsewhere_refuses_nobody_with_other_homes():
+    """All that waits has a place in time in its own homes, though not if it were one crowd."""
+    harness = HomesHarness(read=["south"], talk=["east"])
+    harness.tables._decoder = Decoder()
+    harness.confirm()
+    harness.fill("a", "b", "c")
+    callers = send_many(harness, 60) + send_many(harness, 60, "talk", "t")
+    evacuate(harness, "a")
+    assert not any(read_status(caller) for caller in callers)
+    evacuate(harness, "b")
+    assert [read_status(caller) for caller in callers] == [503] * 60 + [0] * 60
+
+
 @pytest.mark.parametrize("engines", [False, True], ids=["plain", "engines"])
 def test_requests_are_refused_at_once_while_all_domains_are_out(engines):
     """Their callers come back when told to; none is denied."""
@@ -352,6 +366,19 @@
     assert evacuated == as_before.run_until_loaded(as_before.members, 2, 12.0)
 
 
+class PlainCrowd(Crowd):
+    """Counts each request as one."""
+
+    def __init__(self):
+        self.count = 0
+
+    def add(self, request):
+        self.count += 1
+
+    def count_ahead(self, request):
+        return self.count
+
+
 @pytest.mark.parametrize(
     ("rate", "kept"),
     [(None, 0), (0.0, 0), (10.0, 4), (1000.0, 8)],
@@ -365,6 +392,6 @@
     for row in rows:
         assert queue.offer(row, plenty, -1.0) is None
     slots = None if rate is None else SlotForecast([(0.0, rate)])
-    refused = list(queue.recheck(lambda item: slots, 0.0001))
+    refused = list(queue.recheck(lambda item: slots, PlainCrowd(), 0.0001))
     assert len(refused) == 10 - kept and len(queue) == kept
     assert all(refusal.retry_after > 0 for _, refusal in refused)
