Tell routing of evacuations that an announcement settles

A peer's announcement that it has the same items at a later revision of the store may bring the end of the time in which an older copy may be corrected. What came into force or was lifted then was dropped: routing followed it at the next change of any table only.

--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -412,7 +412,8 @@
             elif announced > cached and self._is_unchanged(row, cached):
                 confirmed_at = now - row.age - stream.max_transit_seconds
                 unchanged = TableAnswer(table, (), row.revision, False, confirmed_at, row.era)
-                self._tables.apply(unchanged, now)
+                if self._tables.apply(unchanged, now):
+                    self._observer.tables_changed()
             elif announced > cached:
                 self._announced[table][stream.peer_id] = announced
                 self._request_changes(stream, table)
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -237,6 +237,25 @@
         assert list_out(tables) == (["a"] if finally_out else [])
 
 
+def test_announcement_that_brings_the_end_of_the_restore_is_heard():
+    """A peer that has the same items may tell of the store before the next tick does."""
+    clock = Clock()
+    clock.advance(30.0)
+    stores = [make_cache((KEY, 10, b"{}")) for _ in range(2)]
+    for tables in stores:
+        apply(tables, Table.OPERATOR, [(KEY, 21, None)], (1, 21), 25.0, EVENTS)
+        items = [make_catalogue(7), (KEY, 10, b"{}")]
+        apply(tables, Table.OPERATOR, items, (2, 12), 30.0 - REWRITE_SECONDS)
+    told, telling = stores
+    apply(telling, Table.OPERATOR, [], (2, 13), 30.0, EVENTS)
+    assert list_out(told) == []
+    first, second = make_fleet(clock, telling), make_fleet(clock, told)
+    second._observer = observer = ChangeObserver(told)
+    connect(first, second)
+    assert told.get_position(Table.OPERATOR) == TablePosition(2, 13)
+    assert list_out(told) == ["a"] and (True, ["a"]) in observer.seen
+
+
 class ChangeObserver(Observer):
     """Keeps what was known whenever the tables changed."""
 
