Know a lifted evacuation in a second older copy, and no longer than copies are old

After two restores, an item of the first era came back into force though the evacuation had been lifted since: only its last, lower revision was remembered. The highest is kept now. A lift of long ago deferred an item of the next era, as old lifts were dropped only with the next lift; those above 60 s count no more.

--- a/src/coltsfootshift/gateway/evacuations.py
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -13,11 +13,15 @@
 
 @dataclass(slots=True)
 class _Evacuation:
-    """An item that evacuates a domain, as the store last had it; not in force while deferred."""
+    """An item that evacuates a domain, as the store last had it; not in force while deferred.
+
+    `highest` is the highest revision that it had in any era.
+    """
 
     domain: FailureDomain
     era: int
     revision: int
+    highest: int
     since: float
     deferred: bool = False
 
@@ -90,17 +94,21 @@
         """
         held = self._held.get(key)
         lift = self._lifts.get(key)
-        was_lifted = lift is not None and revision <= lift.revision
+        is_recent = lift is not None and now - lift.lifted_at <= MAX_COPY_AGE_SECONDS
+        was_lifted = lift is not None and is_recent and revision <= lift.revision
         if held is None:
             # What is not held up to the point at which an era was left had been removed there.
             was_removed = era == self._followed[0] and revision <= self._followed[1]
             if era < self._era and (was_removed or was_lifted or now >= self._settled_at):
                 return False
-            self._held[key] = _Evacuation(domain, era, revision, now, copied and was_lifted)
+            self._held[key] = _Evacuation(
+                domain, era, revision, revision, now, copied and was_lifted
+            )
             return True
         if (era, revision) <= (held.era, held.revision):
             return False
         held.era, held.revision = era, revision
+        held.highest = max(held.highest, revision)
         if held.deferred and not (copied and was_lifted):
             held.deferred, held.since = False, now
         return True
@@ -111,7 +119,7 @@
         if held is None or held.deferred:
             return
         previous = self._lifts.get(key)
-        revision = held.revision if previous is None else max(previous.revision, held.revision)
+        revision = held.highest if previous is None else max(previous.revision, held.highest)
         self._lifts[key] = _Lift(held.domain, revision, now)
         for old in [k for k, v in self._lifts.items() if now - v.lifted_at > MAX_COPY_AGE_SECONDS]:
             del self._lifts[old]
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -327,6 +327,16 @@
             + [put(1, 20, 0.0, copied=True)],
             False,
         ),
+        (
+            [put(1, 100, 0.0), begin_era(2, 10.0, (1, 120)), put(2, 92, 11.0), lift(14.0)]
+            + [begin_era(3, 20.0, (2, 95)), put(3, 100, 20.0, copied=True)],
+            False,
+        ),
+        (
+            [put(1, 100, 0.0), lift(1.0), begin_era(2, 62.0, (1, 120))]
+            + [put(2, 100, 62.0, copied=True)],
+            True,
+        ),
     ],
     ids=[
         "lost by the copy",
@@ -337,6 +347,8 @@
         "of two eras ago, lifted",
         "of two eras ago, written after the lift",
         "lifted twice, higher revision first",
+        "lifted at a lower revision than before the first of two restores",
+        "lifted longer ago than any copy is old",
     ],
 )
 def test_item_of_an_earlier_era(steps, expected):
