Take homes as outdated with the margin that keys have

A request sent just before the bound for changes arrives after it, so that it could reach an endpoint that was no home any more. The bound is now less by the 0.4 s that keys allow for this.

--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from coltsfootshift.gateway.checks import Admission
+from coltsfootshift.gateway.checks import KEY_AGE_MARGIN_SECONDS, Admission
 from coltsfootshift.gateway.model import GatewayCatalogue
 from coltsfootshift.gateway.placement import EndpointState
 from coltsfootshift.gateway.table_cache import Table, TableCache
@@ -249,7 +249,8 @@
     It answers requests that are placed, wait, run again or are resumed while the operator changes
     homes, and entries that have not heard of the operator for a while. The current catalogue binds;
     if the store has not confirmed it for `config_within` seconds, in which a change must be in
-    force, requests stay in this entry's region as far as they may (`Homes.narrow`). Where a
+    force, less `KEY_AGE_MARGIN_SECONDS` for what is sent last to arrive, requests stay in this
+    entry's region as far as they may (`Homes.narrow`). Where a
     catalogue has no homes, everything is served anywhere at any age.
     """
 
@@ -265,7 +266,7 @@
         self._metrics = metrics
         self._regions = regions
         self._region = regions.get(domain)
-        self._config_within = config_within
+        self._max_age = config_within - KEY_AGE_MARGIN_SECONDS
         self._usage = _Usage()
         self._catalogue: GatewayCatalogue | None = None
 
@@ -383,7 +384,7 @@
         return HOMELESS_REASON
 
     def _is_unsure(self, now: float) -> bool:
-        return self._tables.measure_age(Table.OPERATOR, now) > self._config_within
+        return self._tables.measure_age(Table.OPERATOR, now) > self._max_age
 
     def _find_region(self, state: EndpointState) -> str | None:
         return self._regions.get(state.record.failure_domain)
