--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -17,7 +17,7 @@
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
 from coltsfootshift.gateway.entry_view import EntryView, SeedContact
 from coltsfootshift.gateway.fleet import make_entry_row
-from coltsfootshift.gateway.homes import find_listed_regions
+from coltsfootshift.gateway.homes import DirectoryHomes
 from coltsfootshift.gateway.nodes import (
     DRAIN_CHECK_INTERVAL_SECONDS,
     MILLISECONDS_PER_SECOND,
@@ -102,6 +102,7 @@
         self.gateway.cold.view = EntryView(config.instance, reactor.seconds())
         self._started_at = reactor.seconds()
         self._store_seconds = inf
+        self._directory_homes = DirectoryHomes()
         self._callers = callers
         self._caller_factory = CallerFactory(self.gateway, reactor)
         self._port: Any = None
@@ -114,7 +115,7 @@
 
     def list_caller_addresses(self, domain: str, region: str, host: str = "") -> list[Address]:
         """Return the addresses of entries for a host's callers in a failure domain and region."""
-        listed = find_listed_regions(self.tables.catalogue, host, region)
+        listed = self._directory_homes.find(self.tables.catalogue, host, region)
         return self.roster.list_caller_addresses(domain, region, self.rng, listed)
 
     def choose_start(self, table: Table) -> TablePosition | None:
--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -22,12 +22,12 @@
     "ANYWHERE",
     "HOMELESS_REASON",
     "NOWHERE",
+    "DirectoryHomes",
     "FullHomes",
     "HomeRules",
     "Homes",
     "RequestHomes",
     "find_homes",
-    "find_listed_regions",
 ]
 
 HOMELESS_REASON = "no endpoint in its homes serves the request"
@@ -124,24 +124,52 @@
     return _make_homes(route.homes if route else frozenset()).intersect(_make_homes(team.homes))
 
 
-def find_listed_regions(catalogue: GatewayCatalogue | None, host: str, region: str) -> Homes:
-    """Return in which regions the directory lists entries for callers of a host.
+class DirectoryHomes:
+    """Finds in which regions the directory lists entries for callers of a host.
 
     This answers callers that choose an entry at random of all that are listed, before they send a
     request of any route: an entry fits in the caller's own `region`, or in a home of every route
     and team of the host that has homes. Of a host without such, and of an unknown one, all fit.
+    A catalogue is gone through once and not for each answer.
     """
-    routes = catalogue.routes.get(host.lower(), ()) if catalogue else ()
+
+    def __init__(self) -> None:
+        self._catalogue: GatewayCatalogue | None = None
+        self._used = False
+        self._by_host: dict[str, Homes] = {}
+
+    def __repr__(self) -> str:
+        return f"DirectoryHomes({self._by_host!r})"
+
+    def find(self, catalogue: GatewayCatalogue | None, host: str, region: str) -> Homes:
+        """Return the regions for a caller in a region, the empty string if it names none."""
+        if catalogue is None:
+            return ANYWHERE
+        if catalogue is not self._catalogue:
+            usage = _measure_usage(catalogue)
+            self._catalogue, self._used, self._by_host = catalogue, usage.any, {}
+        host = host.lower()
+        if not self._used or host not in catalogue.routes:
+            return ANYWHERE
+        if host not in self._by_host:
+            self._by_host[host] = _find_homes_of_all(catalogue, host)
+        homes = self._by_host[host]
+        if homes.regions is None or not region:
+            return homes
+        return Homes(homes.regions | {region})
+
+
+def _find_homes_of_all(catalogue: GatewayCatalogue, host: str) -> Homes:
+    """Return the homes of every route and team of a host."""
+    routes = catalogue.routes[host]
     homes = ANYWHERE
     for route in routes:
         homes = homes.intersect(_make_homes(route.homes))
     needs_key = any(not route.anonymous for route in routes)
-    if catalogue is not None and catalogue.teams and needs_key:
+    if catalogue.teams and needs_key:
         for team in catalogue.teams.values():
             homes = homes.intersect(_make_homes(team.homes))
-    if homes.regions is None or not region:
-        return homes
-    return Homes(homes.regions | {region})
+    return homes
 
 
 class RequestHomes:
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -16,8 +16,8 @@
 from coltsfootshift.gateway.homes import (
     ANYWHERE,
     NOWHERE,
+    DirectoryHomes,
     Homes,
-    find_listed_regions,
 )
 from coltsfootshift.gateway.model import GatewayCatalogue, Team, UnreadParts
 from coltsfootshift.gateway.roster import Roster
@@ -357,7 +357,33 @@
 def test_directory_lists_the_region_of_the_caller_and_homes_of_all(
     catalogue, host, region, expected
 ):
-    assert find_listed_regions(catalogue, host, region).list_regions() == expected
+    homes = DirectoryHomes()
+    for _ in range(2):
+        assert homes.find(catalogue, host, region).list_regions() == expected
+
+
+class CountingTeams(dict):
+    """Counts how often all teams are gone through."""
+
+    walks = 0
+
+    def values(self):
+        self.walks += 1
+        return super().values()
+
+
+@pytest.mark.parametrize(("homes", "walks"), [([], 1), (["south"], 2)], ids=["none", "some"])
+def test_directory_goes_through_a_catalogue_once(homes, walks):
+    """Callers ask every few seconds, and a catalogue may have thousands of routes."""
+    catalogue = make_catalogue(x=homes)
+    catalogue = replace(catalogue, teams=CountingTeams(key=Team(TeamName("t"))))
+    directory = DirectoryHomes()
+    for _ in range(3):
+        directory.find(catalogue, "host", "north")
+        directory.find(catalogue, "unknown", "north")
+    assert catalogue.teams.walks == walks
+    changed = make_catalogue(x=["east"])
+    assert directory.find(changed, "host", "north").list_regions() == ["east", "north"]
 
 
 @given(
