Refuse what waits for a confirmation once no endpoint is left in its homes

While the catalogue is outdated, a request that is kept in the entry's region waits, as another of its homes may serve it once the catalogue is confirmed. It waited also when no endpoint was left in any of them. What does not wait is left out before its homes are found.

--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -333,22 +333,23 @@
     def list_homeless(
         self,
         exchanges: Iterable[Exchange],
-        list_usable: Callable[[Exchange], list[EndpointState]],
-        now: float,
+        endpoints: Mapping[ServiceName, list[EndpointState]],
     ) -> list[Exchange]:
-        """Return what waits although no endpoint in its homes may be sent it.
+        """Return what waits although none of the `endpoints` of its service is in its homes.
 
-        What is kept in this region since the catalogue is outdated may wait: the catalogue may be
-        confirmed in moments.
+        What is kept in this region since the catalogue is outdated may wait while one is in its
+        homes elsewhere: the catalogue may be confirmed in moments.
         """
         if not self.are_used():
             return []
         homeless = []
         for exchange in exchanges:
+            if exchange.queue_entry is None:
+                continue
             homes = self.find_known(exchange.homes)
-            if exchange.queue_entry is None or homes.anywhere:
+            if homes.anywhere:
                 continue
-            if self.find(exchange.homes, now) == homes and not list_usable(exchange):
+            if not self._select(endpoints.get(exchange.service.name, []), homes):
                 homeless.append(exchange)
         return homeless
 
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -963,7 +963,7 @@
 
     def _follow_homes(self, now: float) -> None:
         """Refuse what waits for homes that have gone, and withdraw what has not left for them."""
-        for exchange in self._homes.list_homeless(self._exchanges, self._list_usable, now):
+        for exchange in self._homes.list_homeless(self._exchanges, self._by_service):
             refusal = NotRun(HOMELESS_REASON, retry_after=self.draw_retry_after(exchange))
             self.metrics.count("refused_without_home")
             exchange.guard(exchange.refuse, refusal)
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -305,6 +305,22 @@
     assert_refused(caller)
 
 
+@pytest.mark.parametrize(
+    ("gone", "refused"),
+    [("a", False), ("b", False), ("ac", False), ("ab", True), ("abc", True)],
+)
+def test_what_waits_for_a_confirmation_is_refused_once_no_home_is_left(gone, refused):
+    """A confirmation can help only while a home that is known is left."""
+    harness = HomesHarness(read=["north", "south"])
+    harness.clock.advance(1.5)
+    harness.fill("a", "b", "c")
+    caller = harness.send_request()
+    harness.clock.advance(0.3)
+    harness.remove(*gone)
+    harness.tick(0.04)
+    assert read_status(caller) == (503 if refused else None)
+
+
 @pytest.mark.parametrize("named", [{}, {"book": ["south"]}], ids=["none", "of another route"])
 def test_request_without_homes_is_served_as_before(named):
     dialled = []
