A request that avoids endpoints no longer makes its homes count as full

One that has tried some endpoints in its homes has no place while those have one. It held up all behind it with the same homes, which would have got these places.

--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -213,7 +213,8 @@
 
     This answers a load that fills some regions: without it, the first request whose homes are full
     would hold up all requests behind it, while endpoints in other regions are idle. A request holds
-    up those only that may go to no other regions; one that may go anywhere holds up all.
+    up those only that may go to no other regions, and none if it has tried an endpoint; one that
+    may go anywhere holds up all.
     """
 
     def __init__(self, rules: HomeRules, now: float) -> None:
@@ -233,6 +234,8 @@
         if queued.turn is Turn.INTERRUPTED:
             return True  # it may have none as it avoids endpoints, or needs a version
         homes = self._rules.find(queued.item.homes, self._now)
+        if not homes.anywhere and queued.item.tried:
+            return True  # it may avoid the only endpoints there that have a place
         self._full.append(homes)
         return not homes.anywhere
 
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -17,10 +17,12 @@
     ANYWHERE,
     NOWHERE,
     DirectoryHomes,
+    FullHomes,
     Homes,
 )
 from coltsfootshift.gateway.model import GatewayCatalogue, Team, UnreadParts
 from coltsfootshift.gateway.roster import Roster
+from coltsfootshift.gateway.waiting import QueuedRequest, Turn
 from coltsfootshift.ids import InstanceId, TeamName
 from coltsfootshift.messages import EntryRow
 from coltsfootshift.settings import Address
@@ -240,6 +242,30 @@
     assert harness.dialled == "baaa"
 
 
+@pytest.mark.parametrize(
+    ("homes", "tried", "turn", "passed", "accepted"),
+    [
+        (["north"], [], Turn.NEW, True, "se"),
+        (["north", "south"], [], Turn.LATE, True, "e"),
+        (["north"], ["e-a"], Turn.LATE, True, "nse"),
+        (["north"], ["e-a"], Turn.INTERRUPTED, True, "nse"),
+        (None, [], Turn.NEW, False, ""),
+        (None, ["e-a"], Turn.LATE, False, ""),
+    ],
+)
+def test_what_avoids_endpoints_does_not_make_its_homes_full(homes, tried, turn, passed, accepted):
+    """One that has tried an endpoint may have no place where another has one."""
+
+    def make_queued(homes, tried, turn):
+        homes = Homes(None if homes is None else frozenset(homes))
+        return QueuedRequest(SimpleNamespace(homes=homes, tried=set(tried)), 1, 1.0, 2.0, turn)
+
+    full = FullHomes(SimpleNamespace(find=lambda homes, now: homes), 0.0)
+    assert full.pass_over(make_queued(homes, tried, turn)) is passed
+    behind = [name for name in NAMES if full.accept(make_queued([name], [], Turn.LATE))]
+    assert "".join(name[0] for name in behind) == accepted
+
+
 @pytest.mark.parametrize(("ahead", "status"), [([], None), (["north"], 503)])
 def test_requests_ahead_count_by_what_they_take_of_the_homes(ahead, status):
     """A third of those that may go anywhere takes the places of a request with one home of three.
