Ask no peer again for an evacuation that was refused

An evacuation of an earlier era that is not held was asked for with each announcement for 3 s, by whole tables, although it had been refused as lifted or removed. Refused ones are remembered with their era until the next era begins.

--- a/src/coltsfootshift/gateway/evacuations.py
+++ b/src/coltsfootshift/gateway/evacuations.py
@@ -63,6 +63,7 @@
         self._era = 0
         self._settled_at = -inf
         self._followed = (0, 0)
+        self._refused: set[tuple[str, int]] = set()  # keys and their eras
 
     def __repr__(self) -> str:
         return f"Evacuations({self.list_out()!r})"
@@ -78,6 +79,7 @@
         self._era = era
         self._settled_at = settled_at
         self._followed = followed
+        self._refused.clear()
 
     def record(
         self,
@@ -100,6 +102,7 @@
             # What is not held up to the point at which an era was left had been removed there.
             was_removed = era == self._followed[0] and revision <= self._followed[1]
             if era < self._era and (was_removed or was_lifted or now >= self._settled_at):
+                self._refused.add((key, era))
                 return False
             self._held[key] = _Evacuation(
                 domain, era, revision, revision, now, copied and was_lifted
@@ -143,8 +146,13 @@
         return changed
 
     def accepts(self, key: str, era: int, now: float) -> bool:
-        """Return whether an evacuation of an earlier era, which is not known here, may count."""
-        return key not in self._held and era < self._era and now < self._settled_at
+        """Return whether an evacuation of an earlier era, which is not known here, may count.
+
+        One that was refused since this era began is not asked for again.
+        """
+        if key in self._held or (key, era) in self._refused:
+            return False
+        return era < self._era and now < self._settled_at
 
     def is_out(self, domain: FailureDomain) -> bool:
         """Return whether a domain is out of service."""
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -358,6 +358,26 @@
     assert evacuations.is_out(FailureDomain("a")) is expected
 
 
+@pytest.mark.parametrize(
+    ("steps", "accepted"),
+    [
+        ([], True),
+        ([put(1, 10, SOON)], False),
+        ([begin_era(3, 0.1, (2, 5)), put(1, 10, SOON)], False),
+        ([put(1, 10, SOON), begin_era(3, SOON)], True),
+        ([put(0, 10, SOON)], True),
+    ],
+    ids=["not seen", "refused", "held and lifted before", "refused in another era", "older one"],
+)
+def test_item_that_was_refused_is_not_asked_for_again(steps, accepted):
+    """Peers list it with each announcement, and whole tables would be sent for it."""
+    evacuations = Evacuations()
+    before = [put(1, 10, -5.0), lift(-4.0), begin_era(2, 0.0, (1, 20))]
+    for step in [*before, *steps]:
+        step(evacuations)
+    assert evacuations.accepts(KEY, 1, SOON) is accepted
+
+
 @pytest.mark.parametrize("copies", [[[10], []], [[]]], ids=["lifted, then lost", "lost"])
 def test_item_that_is_gone_is_told_to_nobody(copies):
     """A process that starts would take it for one that stands."""
