A retry whose dial is withdrawn costs no second retry

When an evacuation or a change of homes withdraws a dial, nothing has left the process. If the dial was that of a retry, a second one was taken from the budget, and with an empty budget the request ended. The retry that was taken now goes with the request, counted as of when it is dialled again.

--- a/src/coltsfootshift/gateway/exchange.py
+++ b/src/coltsfootshift/gateway/exchange.py
@@ -172,7 +172,8 @@
     """An admitted request of a caller.
 
     `possible_runs` counts the attempts that may have run at an endpoint, `arrivals` those that may
-    have reached one, and `send_count` all attempts.
+    have reached one, and `send_count` all attempts. `spent_at` is when a retry was taken from the
+    budget for what is dialled or queued now, None if none was.
     """
 
     def __init__(
@@ -190,6 +191,7 @@
         self.possible_runs = 0
         self.arrivals = 0
         self.send_count = 0
+        self.spent_at: float | None = None
         self.version: int | None = None
         self.ended = False
         self.queue_entry: Any = None
@@ -330,6 +332,7 @@
             attempt.state.record_failure(self.request, now)
         self._discard_partial()
         self._log_failure(attempt, reason, retrying=True)
+        self.spent_at = now
         self._owner.send_attempt(self, state)
 
     def withdraw_outdated(self, min_version: int, now: float) -> None:
@@ -344,12 +347,15 @@
         self._retry(attempt, f"version {version} may answer no more")
 
     def withdraw_unsent(self, reason: str) -> None:
-        """Cancel an attempt that has not left this process, and try elsewhere."""
+        """Cancel an attempt that has not left this process, and try elsewhere.
+
+        A retry that was taken from the budget for it is not lost.
+        """
         attempt = self._attempt
         if attempt is None or self.sent:
             return
         self._cancel_attempt()
-        self._retry(attempt, reason)
+        self._retry(attempt, reason, withdrawn=True)
 
     def handle_head(self, attempt: _Attempt, head: ResponseHead) -> None:
         """Handle the head of a response."""
@@ -556,13 +562,22 @@
             return False
         return self.route.retryable and self.possible_runs < self.route.attempts
 
-    def _retry(self, attempt: _Attempt, reason: str, keep_response: bool = False) -> None:
+    def _retry(
+        self,
+        attempt: _Attempt,
+        reason: str,
+        keep_response: bool = False,
+        withdrawn: bool = False,
+    ) -> None:
         """Retry at another endpoint if the request is retryable or has not run; else end it.
 
         With `keep_response`, the response that is held back, a failure, is sent to the caller
-        unless there is a retry. It is kept until that is sent.
+        unless there is a retry. It is kept until that is sent. An attempt that was `withdrawn` is
+        made elsewhere by the same retry.
         """
         attempt.active = False
+        if not withdrawn:
+            self.spent_at = None
         self._attempt = None
         self._outbound = None
         if keep_response:
--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -394,9 +394,14 @@
 
         return weigh
 
-    def make_crowd(self, states: list[EndpointState], now: float) -> HomeCrowd:
-        """Return an empty crowd for the queue of a service with these endpoints."""
-        return HomeCrowd(self, states, now)
+    def make_crowd(
+        self,
+        endpoints: Mapping[ServiceName, list[EndpointState]],
+        now: float,
+        service: ServiceName,
+    ) -> HomeCrowd:
+        """Return an empty crowd for the queue of a service."""
+        return HomeCrowd(self, endpoints.get(service, []), now)
 
     def compute_share(self, states: list[EndpointState], own: Homes, other: Homes) -> float:
         """Return which share of the slots at the `other` homes lies in the `own` ones."""
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -274,12 +274,9 @@
         for domain in self._evacuation_monitor.update(now):
             self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
+        make_crowd = partial(self._homes.make_crowd, self._by_service, now)
         self._evacuation_monitor.refuse_unserved(
-            self._queues,
-            self._list_prospects,
-            lambda name: self._homes.make_crowd(self._by_service.get(name, []), now),
-            self._entry_count,
-            now,
+            self._queues, self._list_prospects, make_crowd, self._entry_count, now
         )
 
     def handle_request(self, incoming: IncomingRequest) -> None:
@@ -364,12 +361,15 @@
             return _log_no_retry(exchange, "no endpoint has been reached in time")
         # A request that has reached no endpoint is not sent again, but for the first time.
         spends = exchange.arrivals > 0
-        if spends and not self._try_spend(exchange, now):
+        if exchange.spent_at is not None:  # for a dial that was withdrawn
+            self._budget.postpone(exchange.service.name, exchange.spent_at, now)
+        elif spends and not self._try_spend(exchange, now):
             self.metrics.count("retries_over_budget")
             return _log_no_retry(exchange, "the retry budget is spent")
         self.metrics.count("retries")
+        exchange.spent_at = now if spends else None
         if not self._place(exchange, now):
-            self._enqueue(exchange, now, spent_at=now if spends else None)
+            self._enqueue(exchange, now, exchange.spent_at)
         return not exchange.ended
 
     def reserve_place(self, exchange: Exchange) -> EndpointState | None:
@@ -992,6 +992,7 @@
                 queued.item.queue_entry = None
                 if queued.spent_at is not None:
                     self._budget.postpone(name, queued.spent_at, now)
+                    queued.item.spent_at = now
             elif full.pass_over(queued) and self._has_place(name, now):
                 passed = queued
             else:
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -153,6 +153,33 @@
     assert arrivals.take() == []
 
 
+@pytest.mark.parametrize("full", [False, True], ids=["placed at once", "queued first"])
+def test_dial_of_a_retry_that_is_withdrawn_costs_no_second_retry(full):
+    """The retry has not left: with an empty budget, the request would end for nothing."""
+    harness = make_harness("a", "b", "c")
+    arrivals = Arrivals(harness)
+    caller = harness.send_request("read")
+    ((_, _, connection),) = arrivals.take()
+    respond(connection, 500)
+    advance(harness, 0.02)
+    (exchange,) = harness.gateway._exchanges
+    spent = harness.gateway._budget._retries[ServiceName("s")]
+    assert len(spent) == 1 and not exchange.sent
+    for state in harness.gateway._states.values() if full else ():
+        state.backoff_until = 1e9
+    harness.gateway._budget._ratio = harness.gateway._budget._allowance = 0.0  # no more is left
+    evacuate(harness, exchange.attempted.record.failure_domain)
+    advance(harness, 0.1)
+    for state in harness.gateway._states.values():
+        state.backoff_until = 0.0
+    advance(harness, 0.02)
+    assert len(spent) == 1 and spent[0] >= (0.12 if full else 0.02)
+    ((_, _, connection),) = arrivals.take()
+    respond(connection, 500)
+    advance(harness, 0.02)
+    assert read_status(caller) == 500 and arrivals.take() == []  # what has left costs one
+
+
 def test_what_waits_goes_elsewhere_or_is_refused_at_once():
     """A domain of two is evacuated while both are full and requests wait for either."""
     harness = make_harness("a", "b", seed=3)
