--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -14,10 +14,10 @@
 from coltsfootshift.gateway.callers import CallerFactory
 from coltsfootshift.gateway.calls import Dialect
 from coltsfootshift.gateway.crashes import SURVIVAL_MEMORY_SECONDS
+from coltsfootshift.gateway.directory_homes import DirectoryHomes
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
 from coltsfootshift.gateway.entry_view import EntryView, SeedContact
 from coltsfootshift.gateway.fleet import make_entry_row
-from coltsfootshift.gateway.homes import DirectoryHomes
 from coltsfootshift.gateway.nodes import (
     DRAIN_CHECK_INTERVAL_SECONDS,
     MILLISECONDS_PER_SECOND,
--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -22,12 +22,15 @@
     "ANYWHERE",
     "HOMELESS_REASON",
     "NOWHERE",
-    "DirectoryHomes",
     "FullHomes",
+    "HomeCrowd",
     "HomeRules",
+    "HomeUsage",
     "Homes",
     "RequestHomes",
     "find_homes",
+    "make_homes",
+    "measure_usage",
 ]
 
 HOMELESS_REASON = "no endpoint in its homes serves the request"
@@ -103,7 +106,8 @@
 NOWHERE = Homes(frozenset())
 
 
-def _make_homes(named: frozenset[str]) -> Homes:
+def make_homes(named: frozenset[str]) -> Homes:
+    """Return the homes that a route or team names; none named stands for anywhere."""
     return Homes(named) if named else ANYWHERE
 
 
@@ -121,55 +125,7 @@
     if team is None and head.key and catalogue.unread.teams:
         return NOWHERE
     route, team = route or admission.route, team or admission.team
-    return _make_homes(route.homes if route else frozenset()).intersect(_make_homes(team.homes))
-
-
-class DirectoryHomes:
-    """Finds in which regions the directory lists entries for callers of a host.
-
-    This answers callers that choose an entry at random of all that are listed, before they send a
-    request of any route: an entry fits in the caller's own `region`, or in a home of every route
-    and team of the host that has homes. Of a host without such, and of an unknown one, all fit.
-    A catalogue is gone through once and not for each answer.
-    """
-
-    def __init__(self) -> None:
-        self._catalogue: GatewayCatalogue | None = None
-        self._used = False
-        self._by_host: dict[str, Homes] = {}
-
-    def __repr__(self) -> str:
-        return f"DirectoryHomes({self._by_host!r})"
-
-    def find(self, catalogue: GatewayCatalogue | None, host: str, region: str) -> Homes:
-        """Return the regions for a caller in a region, the empty string if it names none."""
-        if catalogue is None:
-            return ANYWHERE
-        if catalogue is not self._catalogue:
-            usage = _measure_usage(catalogue)
-            self._catalogue, self._used, self._by_host = catalogue, usage.any, {}
-        host = host.lower()
-        if not self._used or host not in catalogue.routes:
-            return ANYWHERE
-        if host not in self._by_host:
-            self._by_host[host] = _find_homes_of_all(catalogue, host)
-        homes = self._by_host[host]
-        if homes.regions is None or not region:
-            return homes
-        return Homes(homes.regions | {region})
-
-
-def _find_homes_of_all(catalogue: GatewayCatalogue, host: str) -> Homes:
-    """Return the homes of every route and team of a host."""
-    routes = catalogue.routes[host]
-    homes = ANYWHERE
-    for route in routes:
-        homes = homes.intersect(_make_homes(route.homes))
-    needs_key = any(not route.anonymous for route in routes)
-    if catalogue.teams and needs_key:
-        for team in catalogue.teams.values():
-            homes = homes.intersect(_make_homes(team.homes))
-    return homes
+    return make_homes(route.homes if route else frozenset()).intersect(make_homes(team.homes))
 
 
 class RequestHomes:
@@ -196,7 +152,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Usage:
+class HomeUsage:
     """How many routes and keys of a catalogue have homes; `unread` if unreadable ones may."""
 
     routes: int = 0
@@ -205,6 +161,7 @@
 
     @property
     def any(self) -> bool:
+        """Whether a request may have homes."""
         return bool(self.routes or self.keys or self.unread)
 
 
@@ -243,14 +200,19 @@
 class HomeCrowd(Crowd):
     """The requests ahead in a queue, each counted by the share of the slots that it takes.
 
-    This answers an evacuation, or another loss of endpoints, while many requests wait for different
-    homes: counted as one crowd, they would be refused though each has a place in its own homes. It
-    counts by homes, of which there are few, and not by requests.
+    This answers an evacuation while many requests wait for different homes: counted as one, they
+    would be refused though each has a place. It counts by homes, of which there are few.
     """
 
-    def __init__(self, rules: HomeRules, states: list[EndpointState], now: float) -> None:
+    def __init__(
+        self,
+        rules: HomeRules,
+        endpoints: Mapping[ServiceName, list[EndpointState]],
+        now: float,
+        service: ServiceName,
+    ) -> None:
         self._rules = rules
-        self._states = states
+        self._states = endpoints.get(service, [])
         self._now = now
         self._counts: dict[Homes, int] = {}
         self._shares: dict[tuple[Homes, Homes], float] = {}
@@ -298,7 +260,7 @@
         self._regions = regions
         self._region = regions.get(domain)
         self._max_age = config_within - KEY_AGE_MARGIN_SECONDS
-        self._usage = _Usage()
+        self._usage = HomeUsage()
         self._catalogue: GatewayCatalogue | None = None
 
     def are_used(self) -> bool:
@@ -306,7 +268,7 @@
         catalogue = self._tables.catalogue
         if catalogue is self._catalogue or catalogue is None:
             return self._usage.any
-        usage = _measure_usage(catalogue)
+        usage = measure_usage(catalogue)
         if usage != self._usage:
             row = {"routes": usage.routes, "keys": usage.keys, "unread": usage.unread}
             logger.info("use of homes changed", extra={"catalogue": catalogue.version, **row})
@@ -394,15 +356,6 @@
 
         return weigh
 
-    def make_crowd(
-        self,
-        endpoints: Mapping[ServiceName, list[EndpointState]],
-        now: float,
-        service: ServiceName,
-    ) -> HomeCrowd:
-        """Return an empty crowd for the queue of a service."""
-        return HomeCrowd(self, endpoints.get(service, []), now)
-
     def compute_share(self, states: list[EndpointState], own: Homes, other: Homes) -> float:
         """Return which share of the slots at the `other` homes lies in the `own` ones."""
         total = _sum_rates(self._select(states, other))
@@ -432,13 +385,14 @@
         return [state for state in states if homes.allow(self._find_region(state))]
 
 
-def _measure_usage(catalogue: GatewayCatalogue) -> _Usage:
+def measure_usage(catalogue: GatewayCatalogue) -> HomeUsage:
+    """Return how far a catalogue uses homes."""
     routes = keys = 0
     for listed in catalogue.routes.values():
         routes += sum(bool(route.homes) for route in listed)
     for team in (catalogue.teams or {}).values():
         keys += bool(team.homes)
-    return _Usage(routes, keys, catalogue.unread.homes)
+    return HomeUsage(routes, keys, catalogue.unread.homes)
 
 
 def _sum_rates(states: Iterable[EndpointState]) -> float:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -40,7 +40,7 @@
 from coltsfootshift.gateway.evacuation_monitor import EvacuationMonitor
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
-from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules
+from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeCrowd, HomeRules
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
@@ -274,7 +274,7 @@
         for domain in self._evacuation_monitor.update(now):
             self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
-        make_crowd = partial(self._homes.make_crowd, self._by_service, now)
+        make_crowd = partial(HomeCrowd, self._homes, self._by_service, now)
         self._evacuation_monitor.refuse_unserved(
             self._queues, self._list_prospects, make_crowd, self._entry_count, now
         )
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -13,10 +13,10 @@
 from hypothesis import strategies as st
 from twisted.internet.error import ConnectionLost
 
+from coltsfootshift.gateway.directory_homes import DirectoryHomes
 from coltsfootshift.gateway.homes import (
     ANYWHERE,
     NOWHERE,
-    DirectoryHomes,
     FullHomes,
     Homes,
 )
