--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -6,11 +6,11 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from coltsfootshift.gateway.checks import Admission
+from coltsfootshift.gateway.checks import KEY_AGE_MARGIN_SECONDS, Admission
 from coltsfootshift.gateway.model import GatewayCatalogue
 from coltsfootshift.gateway.placement import EndpointState
 from coltsfootshift.gateway.table_cache import Table, TableCache
-from coltsfootshift.gateway.waiting import QueuedRequest, Turn
+from coltsfootshift.gateway.waiting import Crowd, QueuedRequest, Turn
 from coltsfootshift.ids import FailureDomain, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
@@ -23,11 +23,14 @@
     "HOMELESS_REASON",
     "NOWHERE",
     "FullHomes",
+    "HomeCrowd",
     "HomeRules",
+    "HomeUsage",
     "Homes",
     "RequestHomes",
     "find_homes",
-    "find_listed_regions",
+    "make_homes",
+    "measure_usage",
 ]
 
 HOMELESS_REASON = "no endpoint in its homes serves the request"
@@ -103,7 +106,8 @@
 NOWHERE = Homes(frozenset())
 
 
-def _make_homes(named: frozenset[str]) -> Homes:
+def make_homes(named: frozenset[str]) -> Homes:
+    """Return the homes that a route or team names; none named stands for anywhere."""
     return Homes(named) if named else ANYWHERE
 
 
@@ -121,27 +125,7 @@
     if team is None and head.key and catalogue.unread.teams:
         return NOWHERE
     route, team = route or admission.route, team or admission.team
-    return _make_homes(route.homes if route else frozenset()).intersect(_make_homes(team.homes))
-
-
-def find_listed_regions(catalogue: GatewayCatalogue | None, host: str, region: str) -> Homes:
-    """Return in which regions the directory lists entries for callers of a host.
-
-    This answers callers that choose an entry at random of all that are listed, before they send a
-    request of any route: an entry fits in the caller's own `region`, or in a home of every route
-    and team of the host that has homes. Of a host without such, and of an unknown one, all fit.
-    """
-    routes = catalogue.routes.get(host.lower(), ()) if catalogue else ()
-    homes = ANYWHERE
-    for route in routes:
-        homes = homes.intersect(_make_homes(route.homes))
-    needs_key = any(not route.anonymous for route in routes)
-    if catalogue is not None and catalogue.teams and needs_key:
-        for team in catalogue.teams.values():
-            homes = homes.intersect(_make_homes(team.homes))
-    if homes.regions is None or not region:
-        return homes
-    return Homes(homes.regions | {region})
+    return make_homes(route.homes if route else frozenset()).intersect(make_homes(team.homes))
 
 
 class RequestHomes:
@@ -168,7 +152,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Usage:
+class HomeUsage:
     """How many routes and keys of a catalogue have homes; `unread` if unreadable ones may."""
 
     routes: int = 0
@@ -177,6 +161,7 @@
 
     @property
     def any(self) -> bool:
+        """Whether a request may have homes."""
         return bool(self.routes or self.keys or self.unread)
 
 
@@ -185,7 +170,8 @@
 
     This answers a load that fills some regions: without it, the first request whose homes are full
     would hold up all requests behind it, while endpoints in other regions are idle. A request holds
-    up those only that may go to no other regions; one that may go anywhere holds up all.
+    up those only that may go to no other regions, and none if it has tried an endpoint; one that
+    may go anywhere holds up all.
     """
 
     def __init__(self, rules: HomeRules, now: float) -> None:
@@ -205,17 +191,59 @@
         if queued.turn is Turn.INTERRUPTED:
             return True  # it may have none as it avoids endpoints, or needs a version
         homes = self._rules.find(queued.item.homes, self._now)
+        if not homes.anywhere and queued.item.tried:
+            return True  # it may avoid the only endpoints there that have a place
         self._full.append(homes)
         return not homes.anywhere
 
 
+class HomeCrowd(Crowd):
+    """The requests ahead in a queue, each counted by the share of the slots that it takes.
+
+    This answers an evacuation while many requests wait for different homes: counted as one, they
+    would be refused though each has a place. It counts by homes, of which there are few.
+    """
+
+    def __init__(
+        self,
+        rules: HomeRules,
+        endpoints: Mapping[ServiceName, list[EndpointState]],
+        now: float,
+        service: ServiceName,
+    ) -> None:
+        self._rules = rules
+        self._states = endpoints.get(service, [])
+        self._now = now
+        self._counts: dict[Homes, int] = {}
+        self._shares: dict[tuple[Homes, Homes], float] = {}
+
+    def add(self, request: QueuedRequest) -> None:
+        """Add a request that is ahead of all that come after it."""
+        homes = self._rules.find(request.item.homes, self._now)
+        self._counts[homes] = self._counts.get(homes, 0) + 1
+
+    def count_ahead(self, request: QueuedRequest) -> float:
+        """Return by how many requests those ahead delay one; all by one if it may go anywhere."""
+        own = self._rules.find(request.item.homes, self._now)
+        if own.anywhere:
+            return sum(self._counts.values())
+        return sum(count * self._get_share(own, homes) for homes, count in self._counts.items())
+
+    def _get_share(self, own: Homes, homes: Homes) -> float:
+        pair = (own, homes)
+        if pair not in self._shares:
+            self._shares[pair] = self._rules.compute_share(self._states, own, homes)
+        return self._shares[pair]
+
+
 class HomeRules:
     """Selects the endpoints that are homes of a request at this moment.
 
     It answers requests that are placed, wait, run again or are resumed while the operator changes
     homes, and entries that have not heard of the operator for a while. The current catalogue binds;
     if the store has not confirmed it for `config_within` seconds, in which a change must be in
-    force, requests stay in this entry's region as far as they may (`Homes.narrow`). Where a
+    force, less `KEY_AGE_MARGIN_SECONDS` for what is sent last to arrive, requests stay in this
+    entry's region as far as they may (`Homes.narrow`). Where a
     catalogue has no homes, everything is served anywhere at any age.
     """
 
@@ -231,8 +259,8 @@
         self._metrics = metrics
         self._regions = regions
         self._region = regions.get(domain)
-        self._config_within = config_within
-        self._usage = _Usage()
+        self._max_age = config_within - KEY_AGE_MARGIN_SECONDS
+        self._usage = HomeUsage()
         self._catalogue: GatewayCatalogue | None = None
 
     def are_used(self) -> bool:
@@ -240,7 +268,7 @@
         catalogue = self._tables.catalogue
         if catalogue is self._catalogue or catalogue is None:
             return self._usage.any
-        usage = _measure_usage(catalogue)
+        usage = measure_usage(catalogue)
         if usage != self._usage:
             row = {"routes": usage.routes, "keys": usage.keys, "unread": usage.unread}
             logger.info("use of homes changed", extra={"catalogue": catalogue.version, **row})
@@ -270,22 +298,23 @@
     def list_homeless(
         self,
         exchanges: Iterable[Exchange],
-        list_usable: Callable[[Exchange], list[EndpointState]],
-        now: float,
+        endpoints: Mapping[ServiceName, list[EndpointState]],
     ) -> list[Exchange]:
-        """Return what waits although no endpoint in its homes may be sent it.
+        """Return what waits although none of the `endpoints` of its service is in its homes.
 
-        What is kept in this region since the catalogue is outdated may wait: the catalogue may be
-        confirmed in moments.
+        What is kept in this region since the catalogue is outdated may wait while one is in its
+        homes elsewhere: the catalogue may be confirmed in moments.
         """
         if not self.are_used():
             return []
         homeless = []
         for exchange in exchanges:
+            if exchange.queue_entry is None:
+                continue
             homes = self.find_known(exchange.homes)
-            if exchange.queue_entry is None or homes.anywhere:
+            if homes.anywhere:
                 continue
-            if self.find(exchange.homes, now) == homes and not list_usable(exchange):
+            if not self._select(endpoints.get(exchange.service.name, []), homes):
                 homeless.append(exchange)
         return homeless
 
@@ -322,13 +351,17 @@
         def weigh(other: QueuedRequest) -> float:
             homes = self.find(other.item.homes, now)
             if homes not in shares:
-                common = _sum_rates(self._select(states, own.intersect(homes)))
-                total = _sum_rates(self._select(states, homes))
-                shares[homes] = common / total if total > 0.0 else 0.0
+                shares[homes] = self.compute_share(states, own, homes)
             return shares[homes]
 
         return weigh
 
+    def compute_share(self, states: list[EndpointState], own: Homes, other: Homes) -> float:
+        """Return which share of the slots at the `other` homes lies in the `own` ones."""
+        total = _sum_rates(self._select(states, other))
+        common = _sum_rates(self._select(states, own.intersect(other)))
+        return common / total if total > 0.0 else 0.0
+
     def explain(self, request: RequestHomes, otherwise: str, now: float) -> str:
         """Count and log that a request has no endpoint; return why, `otherwise` without homes."""
         homes = self.find(request, now)
@@ -341,7 +374,7 @@
         return HOMELESS_REASON
 
     def _is_unsure(self, now: float) -> bool:
-        return self._tables.measure_age(Table.OPERATOR, now) > self._config_within
+        return self._tables.measure_age(Table.OPERATOR, now) > self._max_age
 
     def _find_region(self, state: EndpointState) -> str | None:
         return self._regions.get(state.record.failure_domain)
@@ -352,13 +385,14 @@
         return [state for state in states if homes.allow(self._find_region(state))]
 
 
-def _measure_usage(catalogue: GatewayCatalogue) -> _Usage:
+def measure_usage(catalogue: GatewayCatalogue) -> HomeUsage:
+    """Return how far a catalogue uses homes."""
     routes = keys = 0
     for listed in catalogue.routes.values():
         routes += sum(bool(route.homes) for route in listed)
     for team in (catalogue.teams or {}).values():
         keys += bool(team.homes)
-    return _Usage(routes, keys, catalogue.unread.homes)
+    return HomeUsage(routes, keys, catalogue.unread.homes)
 
 
 def _sum_rates(states: Iterable[EndpointState]) -> float:
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -40,7 +40,7 @@
 from coltsfootshift.gateway.evacuation_monitor import EvacuationMonitor
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
-from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules
+from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeCrowd, HomeRules
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
@@ -274,8 +274,9 @@
         for domain in self._evacuation_monitor.update(now):
             self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
+        make_crowd = partial(HomeCrowd, self._homes, self._by_service, now)
         self._evacuation_monitor.refuse_unserved(
-            self._queues, self._list_prospects, self._entry_count, now
+            self._queues, self._list_prospects, make_crowd, self._entry_count, now
         )
 
     def handle_request(self, incoming: IncomingRequest) -> None:
@@ -360,12 +361,15 @@
             return _log_no_retry(exchange, "no endpoint has been reached in time")
         # A request that has reached no endpoint is not sent again, but for the first time.
         spends = exchange.arrivals > 0
-        if spends and not self._try_spend(exchange, now):
+        if exchange.spent_at is not None:  # for a dial that was withdrawn
+            self._budget.postpone(exchange.service.name, exchange.spent_at, now)
+        elif spends and not self._try_spend(exchange, now):
             self.metrics.count("retries_over_budget")
             return _log_no_retry(exchange, "the retry budget is spent")
         self.metrics.count("retries")
+        exchange.spent_at = now if spends else None
         if not self._place(exchange, now):
-            self._enqueue(exchange, now, spent_at=now if spends else None)
+            self._enqueue(exchange, now, exchange.spent_at)
         return not exchange.ended
 
     def reserve_place(self, exchange: Exchange) -> EndpointState | None:
@@ -961,7 +965,7 @@
 
     def _follow_homes(self, now: float) -> None:
         """Refuse what waits for homes that have gone, and withdraw what has not left for them."""
-        for exchange in self._homes.list_homeless(self._exchanges, self._list_usable, now):
+        for exchange in self._homes.list_homeless(self._exchanges, self._by_service):
             refusal = NotRun(HOMELESS_REASON, retry_after=self.draw_retry_after(exchange))
             self.metrics.count("refused_without_home")
             exchange.guard(exchange.refuse, refusal)
@@ -990,6 +994,7 @@
                 queued.item.queue_entry = None
                 if queued.spent_at is not None:
                     self._budget.postpone(name, queued.spent_at, now)
+                    queued.item.spent_at = now
             elif full.pass_over(queued) and self._has_place(name, now):
                 passed = queued
             else:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -237,6 +237,25 @@
         assert list_out(tables) == (["a"] if finally_out else [])
 
 
+def test_announcement_that_brings_the_end_of_the_restore_is_heard():
+    """A peer that has the same items may tell of the store before the next tick does."""
+    clock = Clock()
+    clock.advance(30.0)
+    stores = [make_cache((KEY, 10, b"{}")) for _ in range(2)]
+    for tables in stores:
+        apply(tables, Table.OPERATOR, [(KEY, 21, None)], (1, 21), 25.0, EVENTS)
+        items = [make_catalogue(7), (KEY, 10, b"{}")]
+        apply(tables, Table.OPERATOR, items, (2, 12), 30.0 - REWRITE_SECONDS)
+    told, telling = stores
+    apply(telling, Table.OPERATOR, [], (2, 13), 30.0, EVENTS)
+    assert list_out(told) == []
+    first, second = make_fleet(clock, telling), make_fleet(clock, told)
+    second._observer = observer = ChangeObserver(told)
+    connect(first, second)
+    assert told.get_position(Table.OPERATOR) == TablePosition(2, 13)
+    assert list_out(told) == ["a"] and (True, ["a"]) in observer.seen
+
+
 class ChangeObserver(Observer):
     """Keeps what was known whenever the tables changed."""
 
@@ -308,6 +327,16 @@
             + [put(1, 20, 0.0, copied=True)],
             False,
         ),
+        (
+            [put(1, 100, 0.0), begin_era(2, 10.0, (1, 120)), put(2, 92, 11.0), lift(14.0)]
+            + [begin_era(3, 20.0, (2, 95)), put(3, 100, 20.0, copied=True)],
+            False,
+        ),
+        (
+            [put(1, 100, 0.0), lift(1.0), begin_era(2, 62.0, (1, 120))]
+            + [put(2, 100, 62.0, copied=True)],
+            True,
+        ),
     ],
     ids=[
         "lost by the copy",
@@ -318,6 +347,8 @@
         "of two eras ago, lifted",
         "of two eras ago, written after the lift",
         "lifted twice, higher revision first",
+        "lifted at a lower revision than before the first of two restores",
+        "lifted longer ago than any copy is old",
     ],
 )
 def test_item_of_an_earlier_era(steps, expected):
@@ -327,6 +358,26 @@
     assert evacuations.is_out(FailureDomain("a")) is expected
 
 
+@pytest.mark.parametrize(
+    ("steps", "accepted"),
+    [
+        ([], True),
+        ([put(1, 10, SOON)], False),
+        ([begin_era(3, 0.1, (2, 5)), put(1, 10, SOON)], False),
+        ([put(1, 10, SOON), begin_era(3, SOON)], True),
+        ([put(0, 10, SOON)], True),
+    ],
+    ids=["not seen", "refused", "held and lifted before", "refused in another era", "older one"],
+)
+def test_item_that_was_refused_is_not_asked_for_again(steps, accepted):
+    """Peers list it with each announcement, and whole tables would be sent for it."""
+    evacuations = Evacuations()
+    before = [put(1, 10, -5.0), lift(-4.0), begin_era(2, 0.0, (1, 20))]
+    for step in [*before, *steps]:
+        step(evacuations)
+    assert evacuations.accepts(KEY, 1, SOON) is accepted
+
+
 @pytest.mark.parametrize("copies", [[[10], []], [[]]], ids=["lifted, then lost", "lost"])
 def test_item_that_is_gone_is_told_to_nobody(copies):
     """A process that starts would take it for one that stands."""
