--- a/src/coltsfootshift/gateway/entry_view.py
+++ b/src/coltsfootshift/gateway/entry_view.py
@@ -11,8 +11,8 @@
 
 __all__ = ["EntryView", "SeedContact"]
 
-# News of an entry reaches all others within this time: two dials of 0.25 s, two relays of 0.1 s.
-SETTLE_SECONDS = 0.8
+# News of an entry reaches all others within this time, over two connections that are dialled anew.
+SETTLE_SECONDS = 1.5
 # A seed that does not answer for so long is probably lost, and not only late to start.
 LATE_SEED_SECONDS = 5.0
 # A process that stood still for longer may have missed what made endpoints cold.
