What waits for a confirmation is not refused by an evacuation elsewhere

Cause: the forecast after an evacuation saw only the region that an outdated catalogue leaves to a request, and refused what homes.md says may wait. It forecasts by the known homes then. The new test fails on the code before (503).

--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -295,6 +295,13 @@
         """Return the endpoints of a service that a request may be sent to now."""
         return self._select(states, self.find(request, now))
 
+    def list_awaited(
+        self, states: list[EndpointState], request: RequestHomes, now: float
+    ) -> list[EndpointState]:
+        """Return where a request may be sent once the catalogue is confirmed, none if it is."""
+        known = self.find_known(request)
+        return [] if self.find(request, now) == known else self._select(states, known)
+
     def list_homeless(
         self,
         exchanges: Iterable[Exchange],
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -276,7 +276,7 @@
         self._dispatch_all_queues()
         make_crowd = partial(HomeCrowd, self._homes, self._by_service, now)
         self._evacuation_monitor.refuse_unserved(
-            self._queues, self._list_prospects, make_crowd, self._entry_count, now
+            self._queues, self._list_awaited, make_crowd, self._entry_count, now
         )
 
     def handle_request(self, incoming: IncomingRequest) -> None:
@@ -517,6 +517,12 @@
         """Return the endpoints that may serve a request, now or once they have loaded."""
         return self._list_candidates(exchange, now) or self._list_loading(exchange, now)
 
+    def _list_awaited(self, exchange: Exchange, now: float) -> list[EndpointState]:
+        """Return the prospects of a request that waits, which may be for a confirmation."""
+        states = self._by_service.get(exchange.service.name, [])
+        prospects = self._list_prospects(exchange, now)
+        return prospects or self._homes.list_awaited(states, exchange.homes, now)
+
     def _evacuation_ended(self, domain: FailureDomain, now: float) -> None:
         """Use the endpoints of a failure domain again whose evacuation has ended."""
         states = [s for s in self._states.values() if s.record.failure_domain == domain]
--- a/tests/test_gateway_homes.py
+++ b/tests/test_gateway_homes.py
@@ -23,7 +23,7 @@
 from coltsfootshift.gateway.model import GatewayCatalogue, Team, UnreadParts
 from coltsfootshift.gateway.roster import Roster
 from coltsfootshift.gateway.waiting import QueuedRequest, Turn
-from coltsfootshift.ids import InstanceId, TeamName
+from coltsfootshift.ids import FailureDomain, InstanceId, TeamName
 from coltsfootshift.messages import EntryRow
 from coltsfootshift.settings import Address
 
@@ -347,6 +347,20 @@
     assert read_status(caller) == (503 if refused else None)
 
 
+def test_evacuation_elsewhere_refuses_nothing_that_waits_for_a_confirmation():
+    """Forecasts by the region that an outdated catalogue leaves would refuse it at once."""
+    harness = HomesHarness(read=["north", "south"])
+    harness.clock.advance(1.5)
+    harness.fill("a", "b", "c")
+    caller = harness.send_request()
+    harness.clock.advance(0.3)
+    harness.remove("a")
+    harness.tick(0.02)
+    harness.tables.evacuations.record("out", FailureDomain("c"), 1, 9, harness.clock.seconds())
+    harness.gateway.refresh()
+    assert read_status(caller) is None
+
+
 @pytest.mark.parametrize("named", [{}, {"book": ["south"]}], ids=["none", "of another route"])
 def test_request_without_homes_is_served_as_before(named):
     dialled = []
