--- a/src/coltsfootshift/gateway/evacuation_monitor.py
+++ b/src/coltsfootshift/gateway/evacuation_monitor.py
@@ -8,7 +8,7 @@
 from coltsfootshift.gateway.exchange import Exchange
 from coltsfootshift.gateway.placement import EndpointState, forecast_slots
 from coltsfootshift.gateway.table_cache import TableCache
-from coltsfootshift.gateway.waiting import Crowd, ServiceQueue, SlotForecast
+from coltsfootshift.gateway.waiting import RequestsAhead, ServiceQueue, SlotForecast
 from coltsfootshift.ids import FailureDomain, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
@@ -69,14 +69,14 @@
         self,
         queues: Mapping[ServiceName, ServiceQueue],
         list_prospects: Callable[[Exchange, float], Sequence[EndpointState]],
-        make_crowd: Callable[[ServiceName], Crowd],
+        start_count: Callable[[ServiceName], RequestsAhead],
         entry_count: int,
         now: float,
     ) -> None:
         """Refuse what waits and gets no place in time without the endpoints of the domains.
 
         `list_prospects` returns the endpoints that may serve a request, which `entry_count` entries
-        share. `make_crowd` returns an empty crowd for the queue of a service.
+        share. `start_count` returns a new count of the requests ahead for the queue of a service.
         """
 
         def forecast(exchange: Exchange) -> SlotForecast | None:
@@ -87,7 +87,7 @@
         for name, queue in queues.items():
             if name not in emptied:
                 continue
-            for queued, refusal in list(queue.recheck(forecast, make_crowd(name), now)):
+            for queued, refusal in list(queue.recheck(forecast, start_count(name), now)):
                 queued.item.guard(queued.item.refuse, refusal)
 
     def _show_begin(self, domain: FailureDomain, since: float, now: float) -> None:
--- a/src/coltsfootshift/gateway/homes.py
+++ b/src/coltsfootshift/gateway/homes.py
@@ -10,7 +10,7 @@
 from coltsfootshift.gateway.model import GatewayCatalogue
 from coltsfootshift.gateway.placement import EndpointState
 from coltsfootshift.gateway.table_cache import Table, TableCache
-from coltsfootshift.gateway.waiting import Crowd, QueuedRequest, Turn
+from coltsfootshift.gateway.waiting import QueuedRequest, RequestsAhead, Turn
 from coltsfootshift.ids import FailureDomain, ServiceName
 from coltsfootshift.logs import get_logger
 from coltsfootshift.metrics import Metrics
@@ -23,7 +23,7 @@
     "HOMELESS_REASON",
     "NOWHERE",
     "FullHomes",
-    "HomeCrowd",
+    "RequestsAheadByHome",
     "HomeRules",
     "HomeUsage",
     "Homes",
@@ -197,7 +197,7 @@
         return not homes.anywhere
 
 
-class HomeCrowd(Crowd):
+class RequestsAheadByHome(RequestsAhead):
     """The requests ahead in a queue, each counted by the share of the slots that it takes.
 
     This answers an evacuation while many requests wait for different homes: counted as one, they
--- a/src/coltsfootshift/gateway/service.py
+++ b/src/coltsfootshift/gateway/service.py
@@ -40,7 +40,7 @@
 from coltsfootshift.gateway.evacuation_monitor import EvacuationMonitor
 from coltsfootshift.gateway.exchange import Exchange, ExchangeOwner
 from coltsfootshift.gateway.holding import HeldBytes, compute_max_held_bytes
-from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeCrowd, HomeRules
+from coltsfootshift.gateway.homes import HOMELESS_REASON, FullHomes, HomeRules, RequestsAheadByHome
 from coltsfootshift.gateway.links import ConnectionPool
 from coltsfootshift.gateway.load_reports import LoadReportCounter, find_highest_slowdown
 from coltsfootshift.gateway.model import CallerLimits, EndpointRecord, RouteKind, ServiceSpec
@@ -274,9 +274,9 @@
         for domain in self._evacuation_monitor.update(now):
             self._evacuation_ended(domain, now)
         self._dispatch_all_queues()
-        make_crowd = partial(HomeCrowd, self._homes, self._by_service, now)
+        start_count = partial(RequestsAheadByHome, self._homes, self._by_service, now)
         self._evacuation_monitor.refuse_unserved(
-            self._queues, self._list_awaited, make_crowd, self._entry_count, now
+            self._queues, self._list_awaited, start_count, self._entry_count, now
         )
 
     def handle_request(self, incoming: IncomingRequest) -> None:
--- a/src/coltsfootshift/gateway/waiting.py
+++ b/src/coltsfootshift/gateway/waiting.py
@@ -14,7 +14,7 @@
 from coltsfootshift.outcomes import NotRun
 
 __all__ = [
-    "Crowd",
+    "RequestsAhead",
     "QueuedRequest",
     "ServiceQueue",
     "SlotForecast",
@@ -101,7 +101,7 @@
         return since + (count - freed) / max(self._min_rate, rate)
 
 
-class Crowd(ABC):
+class RequestsAhead(ABC):
     """The requests of a queue that are ahead of the next one, while all are gone through."""
 
     @abstractmethod
@@ -174,23 +174,23 @@
         self._heap = kept
 
     def recheck(
-        self, forecast: Callable[[Any], SlotForecast | None], crowd: Crowd, now: float
+        self, forecast: Callable[[Any], SlotForecast | None], kept_ahead: RequestsAhead, now: float
     ) -> Iterator[tuple[QueuedRequest, NotRun]]:
         """Remove the requests that will get no place in time; yield them with refusals.
 
         Load pattern: a failure domain is emptied at a moment of full load, so that far more waits
         than the other endpoints take in time. `forecast` returns when places for an item come free,
-        or None if there will be none. `crowd` counts what is kept.
+        or None if there will be none. `kept_ahead` counts what is kept.
         """
         kept: list[tuple[tuple[bool, int, Turn, float], int, QueuedRequest]] = []
         for row in sorted(row for row in self._heap if row[-1].open):
             request = row[-1]
             slots = forecast(request.item)
-            ahead = crowd.count_ahead(request)
+            ahead = kept_ahead.count_ahead(request)
             wait = inf if slots is None else slots.find_wait(ahead + 1)
             if now + wait <= request.latest:
                 kept.append(row)
-                crowd.add(request)
+                kept_ahead.add(request)
                 continue
             request.open = False
             reason = f"places were lost: {ahead:g} ahead, a place in {wait:.3f} s"
--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -27,7 +27,13 @@
 
 from coltsfootshift.gateway.model import ServiceSpec
 from coltsfootshift.gateway.table_cache import Item, Table, TableAnswer
-from coltsfootshift.gateway.waiting import Crowd, QueuedRequest, ServiceQueue, SlotForecast, Turn
+from coltsfootshift.gateway.waiting import (
+    QueuedRequest,
+    RequestsAhead,
+    ServiceQueue,
+    SlotForecast,
+    Turn,
+)
 from coltsfootshift.ids import FailureDomain, ServiceName
 
 
@@ -216,7 +222,7 @@
 
 
 def test_evacuation_elsewhere_refuses_nobody_with_other_homes():
-    """All that waits has a place in time in its own homes, though not if it were one crowd."""
+    """All that waits has a place in time in its own homes, though not if all counted for one queue."""
     harness = HomesHarness(read=["south"], talk=["east"])
     harness.tables._decoder = Decoder()
     harness.confirm()
@@ -393,7 +399,7 @@
     assert evacuated == as_before.run_until_loaded(as_before.members, 2, 12.0)
 
 
-class PlainCrowd(Crowd):
+class PlainRequestsAhead(RequestsAhead):
     """Counts each request as one."""
 
     def __init__(self):
@@ -419,6 +425,6 @@
     for row in rows:
         assert queue.offer(row, plenty, -1.0) is None
     slots = None if rate is None else SlotForecast([(0.0, rate)])
-    refused = list(queue.recheck(lambda item: slots, PlainCrowd(), 0.0001))
+    refused = list(queue.recheck(lambda item: slots, PlainRequestsAhead(), 0.0001))
     assert len(refused) == 10 - kept and len(queue) == kept
     assert all(refusal.retry_after > 0 for _, refusal in refused)
