--- a/tests/test_gateway_evacuation.py
+++ b/tests/test_gateway_evacuation.py
@@ -222,7 +222,7 @@
 
 
 def test_evacuation_elsewhere_refuses_nobody_with_other_homes():
-    """All that waits has a place in time in its own homes, though not if all counted for one queue."""
+    """What waits has places in time in its own homes, though not if all homes shared a queue."""
     harness = HomesHarness(read=["south"], talk=["east"])
     harness.tables._decoder = Decoder()
     harness.confirm()
