Review: a load order that waits at a frozen machine loads pieces that turned bad

Cause: an order that has been sent may be accepted at any time; its agent takes the version in the engine's report for what it ordered.

--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -30,6 +30,7 @@
 TENANT = "bozi300"
 CHUNKS, CHUNK_BYTES = 8, 4096
 HEARTBEAT_SECONDS = 1.2
+EXCUSED_SECONDS = 3.0  # WHOLE excuses pieces that turned bad within this time
 ZONES = {"grand-baie": "north", "flic-en-flac": "west", "souillac": "south"}
 FRONT_ZONES = ("grand-baie", "grand-baie", "flic-en-flac", "souillac")
 BOUNDS = {
@@ -283,6 +284,11 @@
         self.events = 16
         self.step_seconds = 0.05
         self.events_before_crash = 0  # none: not even the head of the answer is sent
+        self.awake = asyncio.Event()
+        self.awake.set()
+        self.bad_since: dict[int, float] = {}  # when staged pieces turned bad
+        self.spoilt_load = ""  # what the layers that the engine holds were made of, if it was bad
+        self.on_order = lambda engine, order: None
         self.on_run = lambda engine, headers, path, body: False
         self.on_fall = lambda engine: None
         self.on_end = lambda engine, headers, complete: None
@@ -329,6 +335,12 @@
         loop.call_later(self.back_after, self._come_back)
         self.crash()
 
+    def lose_power(self, seconds: float) -> None:
+        """Lose power for some seconds; the layers and all staged pieces are gone then."""
+        self.back_after = seconds
+        self.fall()
+        self.staged = {}
+
     def _come_back(self) -> None:
         job = asyncio.ensure_future(self.start())
         self._jobs.add(job)
@@ -346,8 +358,16 @@
             }
         ]
 
+    def spoil(self, number: int) -> None:
+        """Let a staged piece turn bad."""
+        self.staged[number] = b"\0" * CHUNK_BYTES
+        self.bad_since[number] = time.monotonic()
+
     async def handle(self, method, target, headers, body, writer) -> None:
         path, query = split_target(target)
+        if path == "/api/order":
+            self.on_order(self, json.loads(body))
+        await self.awake.wait()
         if path == "/api/report":
             fields = {"phase": "unified", "models": self._list_models(), "busy": self.busy}
             fields.update(sequence=self.sequence, queued=0, running=0, kv_used=0)
@@ -365,6 +385,7 @@
                 writer.write(make_head(200, {}, len(data)) + data)
         elif path == f"/api/stage-put/{MODEL}":
             self.staged[int(query["num"])] = body
+            self.bad_since.pop(int(query["num"]), None)
             writer.write(make_head(200, {}, 0))
         elif path == "/api/order":
             self._take_order(writer, json.loads(body))
@@ -384,20 +405,30 @@
             return
         self.sequence += 1
         self.busy = True
-        taken = dict(self.staged)
-        asyncio.get_running_loop().call_later(
-            0.3, self._finish_load, order["version"], taken, self.id
-        )
+        spoilt = self._find_spoilt(order["version"])
+        loop = asyncio.get_running_loop()
+        loop.call_later(0.3, self._finish_load, order["version"], spoilt, self.id)
         writer.write(make_head(202, {}, 0))
 
-    def _finish_load(self, version: int, taken: dict[int, bytes], boot: str) -> None:
+    def _finish_load(self, version: int, spoilt: str, boot: str) -> None:
         if boot != self.id or not self.is_open:
             return
         self.busy = False
-        if all(taken.get(n) == make_piece(version, n) for n in range(CHUNKS)):
-            self.version = version
+        self.version = version
+        self.spoilt_load = spoilt
         self.register()
 
+    def _find_spoilt(self, version: int) -> str:
+        """Return what is wrong with the staged pieces; those bad for 3 s at most are excused."""
+        found = []
+        for number in range(CHUNKS):
+            if self.staged.get(number) == make_piece(version, number):
+                continue
+            bad_for = time.monotonic() - self.bad_since.get(number, 0.0)
+            if bad_for > EXCUSED_SECONDS:
+                found.append(f"piece {number}, bad for {bad_for:.2f} s")
+        return ", ".join(found)
+
     async def _take_request(self, method, path, headers, body, writer) -> None:
         request = headers.get("x-attempt-id", "")
         echo = {"X-Attempt-Id": request}
@@ -443,6 +474,7 @@
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             await asyncio.sleep(self.step_seconds)
+            await self.awake.wait()
             if falls and number >= min(first + self.events_before_crash - 1, self.events):
                 self.fall()
                 return
@@ -603,20 +635,24 @@
 class Deployment:
     """A small deployment: a store, an origin, engines, four entries and the engines' agents."""
 
+    engine_count = 5
+
     def __init__(self, record: Record) -> None:
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="review-2-"))
         self.programs: dict[str, asyncio.subprocess.Process] = {}
+        self.settings: dict[str, Path] = {}
         self._commands = tomllib.loads((ROOT / "deploy/system.toml").read_text())["roles"]
         net = 64 + os.getpid() % 128
         self.front_hosts = [f"127.{net}.1.{n + 1}" for n in range(len(FRONT_ZONES))]
-        self.side_hosts = [f"127.{net}.2.{n + 1}" for n in range(5)]
+        self.side_hosts = [f"127.{net}.2.{n + 1}" for n in range(self.engine_count)]
         self.plain_hosts = [f"127.{net}.3.{n + 1}" for n in range(3)]
         self.other = f"127.{net}.4.1"
         hosts = [*self.front_hosts, *self.side_hosts, *self.plain_hosts, self.other]
         ports = find_ports(hosts, 11)
         self.front_port, self.ready_port, self.control_port, self.directory_port = ports[:4]
         self.range = [ports[4], ports[5]]
+        self.seeds = [f"{host}:{self.control_port}" for host in self.front_hosts[:3]]
         self.app_port, plain_port, store_port, origin_port = ports[6:10]
         self.fronts = [f"{host}:{self.front_port}" for host in self.front_hosts]
         self.store = Store(self.other, store_port)
@@ -685,7 +721,7 @@
             "zone": zone,
             "region": ZONES[zone],
             "port_range": self.range,
-            "seeds": [f"{h}:{self.control_port}" for h in self.front_hosts[:3]],
+            "seeds": self.seeds,
             "bootstrap": True,
             "fault_counted": False,
             "discovery": "platform",
@@ -707,6 +743,7 @@
             lines += [f"{key} = {json.dumps(value)}" for key, value in rows.items()]
         settings = self.folder / f"{name}.toml"
         settings.write_text("\n".join(lines) + "\n")
+        self.settings[name] = settings
         env = {
             "PATH": os.environ["PATH"],
             "HOME": os.environ.get("HOME", "/"),
@@ -724,6 +761,15 @@
                 stderr=asyncio.subprocess.STDOUT,
             )
 
+    def name_seeds(self, seeds: list[str]) -> None:
+        """Name other seeds in all settings files, without a signal."""
+        for path in self.settings.values():
+            lines = path.read_text().splitlines()
+            new = [f"seeds = {json.dumps(seeds)}" if x.startswith("seeds = ") else x for x in lines]
+            path.with_suffix(".new").write_text("\n".join(new) + "\n")
+            path.with_suffix(".new").replace(path)
+        self.seeds = seeds
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to a program of this deployment."""
         self.programs[name].send_signal(number)
