--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,94 +1,102 @@
-"""A request that crashes each engine that begins to run it, before the engine has sent a byte."""
+"""The machines that the seeds name leave; after a final fault nobody reads the new seeds."""
 
 from __future__ import annotations
 
 import asyncio
 import random
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from standins_2 import BOUNDS, KEY, MODEL, TENANT, run_case, send  # noqa: E402
+from standins_2 import BOUNDS, KEY, MODEL, run_case, send  # noqa: E402
 
 HOST, PATH = "jepu9.example", "/lepu270/2f"
-SOUND_PER_SECOND = 8.0
-POISON_INTERVAL_SECONDS = 4.0
-PLAY_SECONDS = 60.0
-MAX_RETRIES_AFTER = 3
-POISON_BODY = b"poison " * 40
-
-
-def make_headers(rng: random.Random, own: str) -> dict[str, str]:
-    return {
-        "X-Attempt-Id": f"{rng.getrandbits(64):016x}",
-        "X-Model": MODEL,
-        "X-Token-Counts": "1290,80",
-        "X-Prompt-Prefix": f"{rng.randrange(60):08x}:40,{own}:1250",
-        "X-Deadline-Ms": "6060",
-        "X-Api-Key": KEY,
-    }
+PER_SECOND = 6.0
+LEAVE_GAP_SECONDS = 1.3
+DOWN_SECONDS = 1.5
+AFTER_SECONDS = 22.0  # from `recover_s` after the return of the machines
+LEAVING = (0, 1, 2)  # of four entries; the seeds of all processes name these
 
 
 async def play(deployment, record, trouble: bool) -> bool:
-    rng = random.Random(6)
-    arrivals: list[float] = []
-    crashes: list[float] = []
-    counts = {"sound sent": 0, "sound complete": 0, "sound refused": 0, "sound cut or failed": 0}
-    counts["engine crashes"] = 0
-
-    def on_run(engine, headers, path, body):
-        if body != POISON_BODY:
-            return False
-        arrivals.append(time.monotonic())
-        record.write(f"{engine.id} begins {headers['x-attempt-id']}, the poison")
-        return trouble
-
-    def on_fall(engine):
-        crashes.append(time.monotonic())
-        counts["engine crashes"] += 1
-        record.write(f"{engine.id} crashes")
-
-    for engine in deployment.engines:
-        engine.on_run = on_run
-        engine.on_fall = on_fall
+    rng = random.Random(11)
+    asked: list[tuple[float, bool]] = []
+    fronts = list(deployment.fronts)
     await deployment.open()
-    await asyncio.sleep(7.0)  # all processes have been in touch and have seen requests for a while
-
-    async def ask(headers, body, name):
-        front = rng.choice(deployment.fronts)
-        answer = await send(front, "POST", HOST, PATH, headers, body)
-        record.write(
-            f"{headers['X-Attempt-Id']} {name}: {answer.status} complete={answer.complete}"
-        )
-        if name == "sound":
-            if answer.status == 200 and answer.complete:
-                counts["sound complete"] += 1
-            elif answer.status == 503:
-                counts["sound refused"] += 1
-            else:
-                counts["sound cut or failed"] += 1
+    await asyncio.sleep(3.0)
+
+    async def ask():
+        headers = {
+            "X-Attempt-Id": f"{rng.getrandbits(64):016x}",
+            "X-Model": MODEL,
+            "X-Token-Counts": "1290,80",
+            "X-Prompt-Prefix": f"{rng.randrange(60):08x}:40,{rng.getrandbits(32):08x}:1250",
+            "X-Deadline-Ms": "6060",
+            "X-Api-Key": KEY,
+        }
+        sent_at = time.monotonic()
+        answer = await send(rng.choice(fronts), "POST", HOST, PATH, headers)
+        record.write(f"{headers['X-Attempt-Id']}: {answer.status} complete={answer.complete}")
+        asked.append((sent_at, answer.status == 200 and answer.complete))
+
+    async def ask_for(seconds):
+        jobs = []
+        until = time.monotonic() + seconds
+        while time.monotonic() < until:
+            jobs.append(asyncio.ensure_future(ask()))
+            await asyncio.sleep(rng.expovariate(PER_SECOND))
+        await asyncio.gather(*jobs)
+
+    def compute_share(since, until):
+        rows = [served for sent_at, served in asked if since <= sent_at < until]
+        return sum(rows) / max(1, len(rows)), len(rows)
 
-    tasks = []
     began = time.monotonic()
-    poison_at = began + 6.0
-    while time.monotonic() < began + PLAY_SECONDS:
-        counts["sound sent"] += 1
-        headers = make_headers(rng, f"{rng.getrandbits(32):08x}")
-        tasks.append(asyncio.ensure_future(ask(headers, b"sound", "sound")))
-        if time.monotonic() >= poison_at:
-            poison_at += POISON_INTERVAL_SECONDS
-            same = make_headers(random.Random(1), "0bad0bad")
-            same["X-Attempt-Id"] = f"{rng.getrandbits(64):016x}"
-            tasks.append(asyncio.ensure_future(ask(same, POISON_BODY, "poison")))
-        await asyncio.sleep(rng.expovariate(SOUND_PER_SECOND))
-    await asyncio.gather(*tasks)
-    limit = crashes[2] + BOUNDS["contact_ms"] / 1000 if len(crashes) > 2 else float("inf")
-    late = sum(at > limit for at in arrivals)
-    record.write(f"{counts}; the poison began to run {len(arrivals)} times for tenant {TENANT}")
-    record.write(f"after the third crash and contact_ms: {late}, allowed {MAX_RETRIES_AFTER}")
-    return late > MAX_RETRIES_AFTER
+    await ask_for(5.0)
+    if trouble:
+        for number in LEAVING:
+            fronts.remove(deployment.fronts[number])
+            deployment.signal(f"front-{number + 1}", signal.SIGTERM)
+            record.write(f"front-{number + 1} is told to leave")
+            await ask_for(LEAVE_GAP_SECONDS)
+        for number in LEAVING:
+            program = deployment.programs[f"front-{number + 1}"]
+            while program.returncode is None:
+                await ask_for(0.5)
+        record.write("the three that the seeds name have left")
+    else:
+        await ask_for(10.0)
+    left_at = time.monotonic()
+    record.write("final fault: all machines lose power")
+    names = [name for name, program in deployment.programs.items() if program.returncode is None]
+    for name in names:
+        deployment.signal(name, signal.SIGKILL)
+    for engine in [*deployment.engines, *deployment.plain]:
+        engine.lose_power(DOWN_SECONDS)
+    await asyncio.sleep(DOWN_SECONDS)
+    for name in names:
+        role, _, number = name.partition("-")
+        start = deployment.start_entry if role == "front" else deployment.start_agent
+        await start(int(number) - 1)
+    back_at = time.monotonic()
+    record.write(f"all are back; their settings name the seeds {deployment.seeds}")
+    if trouble:
+        await asyncio.sleep(max(0.0, left_at + BOUNDS["seed_lag_s"] - time.monotonic()))
+        port = deployment.control_port
+        deployment.name_seeds([f"{deployment.front_hosts[3]}:{port}"])
+        record.write(f"the settings files name the seeds {deployment.seeds}, without a signal")
+    await ask_for(back_at + BOUNDS["recover_s"] + AFTER_SECONDS - time.monotonic())
+    before, before_count = compute_share(began, left_at)
+    after, after_count = compute_share(back_at + BOUNDS["recover_s"], time.monotonic())
+    record.write(f"before the fault {before:.2f} of {before_count} are served")
+    record.write(f"later than recover_s after the return {after:.2f} of {after_count} are served")
+    record.write(f"versions that the engines hold: {[e.version for e in deployment.engines]}")
+    if before < 0.25:
+        raise RuntimeError("too few were served before the fault")
+    return after < 0.25
 
 
 run_case(play)
