--- a/review/6/case.py
+++ b/review/6/case.py
@@ -64,7 +64,10 @@
             await ask_for(LEAVE_GAP_SECONDS)
         for number in LEAVING:
             program = deployment.programs[f"front-{number + 1}"]
+            told_until = time.monotonic() + BOUNDS["grace_s"]
             while program.returncode is None:
+                if time.monotonic() > told_until:
+                    program.kill()
                 await ask_for(0.5)
         record.write("the three that the seeds name have left")
     else:
--- a/review/standins_2.py
+++ b/review/standins_2.py
@@ -30,6 +30,7 @@
 TENANT = "bozi300"
 CHUNKS, CHUNK_BYTES = 8, 4096
 HEARTBEAT_SECONDS = 1.2
+MAX_SECONDS = 110.0  # of a script; one that takes longer could not run
 EXCUSED_SECONDS = 3.0  # WHOLE excuses pieces that turned bad within this time
 ZONES = {"grand-baie": "north", "flic-en-flac": "west", "souillac": "south"}
 FRONT_ZONES = ("grand-baie", "grand-baie", "flic-en-flac", "souillac")
@@ -796,7 +797,8 @@
     async def play() -> bool:
         deployment = Deployment(record)
         try:
-            return await case(deployment, record, trouble)
+            async with asyncio.timeout(MAX_SECONDS):
+                return await case(deployment, record, trouble)
         finally:
             await deployment.close()
 
