Read the settings file again while the process runs

The entry that was up was ready, but no agent connected to it, so that no engine got its layers.

Cause: a process read its seeds at its start and on SIGHUP only. The platform replaces the settings file whenever the settings change, and does not always send a signal. An agent that had just started with stale seeds dialled the entries that were gone without end.

Change: every process compares the content of the file every 0.5 s and dials the seeds that it names. What cannot be used changes nothing and is logged once: a file that is missing, invalid, written in part or without seeds. Contents are compared and not times, since a file may be replaced by one of the same size within the resolution of its time. Other settings still take effect at a start only; those that differ from the file are named in the log.

--- a/src/coltsfootshift/gateway/nodes.py
+++ b/src/coltsfootshift/gateway/nodes.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
 from math import inf, isfinite
@@ -18,10 +17,10 @@
 from twisted.web.resource import Resource
 from twisted.web.server import Site
 
-from coltsfootshift.errors import SettingsError
 from coltsfootshift.gateway.beliefs import BeliefAnswer, SharedBeliefs
 from coltsfootshift.gateway.fleet import FleetObserver, FleetTask
 from coltsfootshift.gateway.roster import Roster
+from coltsfootshift.gateway.settings_reload import SettingsReloader
 from coltsfootshift.gateway.stopping import StopSchedule
 from coltsfootshift.gateway.table_cache import (
     ItemDecoder,
@@ -50,6 +49,8 @@
 DRAIN_CHECK_INTERVAL_SECONDS = 0.1
 STARTUP_SECONDS = 1.0  # interpreter start and imports take 0.5 s on a shared machine
 INTERPRETER_SECONDS = 0.3  # from the start of the process to the first line of the program
+# The settings file may change without a signal, and what it names must be in force within 2 s.
+SETTINGS_CHECK_SECONDS = 0.5
 # A change must be in force within 2 s, so a lost peer must be detected and redialled within that.
 # After a loss of the whole fleet agents are started some tenths of a second before entries listen,
 # and each later dial delays the return of the engines. Dials to a machine without power take the
@@ -107,7 +108,7 @@
         self.tables = TableCache(decoder, config.find_start(reactor.seconds()))
         self.roster = roster
         self.beliefs = SharedBeliefs(self.choose_judging_start())
-        self.read_seeds: Callable[[], tuple[Address, ...]] | None = None
+        self.settings: SettingsReloader | None = None
         self.stop_schedule: StopSchedule | None = None
         self.started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         self._incarnation = make_incarnation()
@@ -164,6 +165,7 @@
         self.reactor.listenTCP(self.config.metrics_port, page, interface=peers.host)
         self.start_role()
         self.fleet.start()
+        self.reactor.callLater(SETTINGS_CHECK_SECONDS, self._check_settings)
         logger.info("started", extra={"role": self.role.value, "incarnation": self._incarnation})
 
     def leave(self) -> None:
@@ -178,17 +180,9 @@
         self._check_drained(schedule)
 
     def reload(self) -> None:
-        """Reload the settings; only the seeds may change while the process runs."""
-        if self.read_seeds is None:
-            return
-        try:
-            seeds = self.read_seeds()
-        except SettingsError as error:
-            logger.error("reload failed, previous settings kept", extra={"cause": str(error)})
-            return
-        self.fleet.set_seeds(list(seeds))
-        addresses = [f"{seed.host}:{seed.port}" for seed in seeds]
-        logger.info("settings reloaded", extra={"seeds": addresses})
+        """Read the settings file now, and dial the seeds that it names."""
+        if self.settings is not None:
+            self.fleet.set_seeds(list(self.settings.reload()))
 
     def stop_role(self) -> None:
         """Break off what is unfinished; stop what would log closed connections as a fault."""
@@ -232,6 +226,15 @@
     def can_stop(self, schedule: StopSchedule, now: float) -> bool:
         """Return whether the process can stop before the end of the time that it has."""
 
+    def _check_settings(self) -> None:
+        """Read the settings file again and again; an unexpected error does not end this."""
+        self.reactor.callLater(SETTINGS_CHECK_SECONDS, self._check_settings)
+        if self.settings is None:
+            return
+        seeds = self.settings.check()
+        if seeds is not None:
+            self.fleet.set_seeds(list(seeds))
+
     def _check_drained(self, schedule: StopSchedule) -> None:
         now = self.reactor.seconds()
         overrun = now >= schedule.stop_by
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -30,6 +30,7 @@
         self.origin = OriginStandIn()
         self.endpoint = EndpointStandIn("e-1")
         self.programs = []
+        self.agent_fields = {}
         self.store.put("op/config", make_config(3, self.origin.address))
         self.store.put("servers/e-1", make_record(PLAIN_SERVICE, self.endpoint.address))
 
@@ -55,6 +56,7 @@
         )
         fields["ip"] = host
         fields["listen"] = {}
+        self.agent_fields[number] = fields
         return self.start(f"agent-{number}", "agent", fields)
 
     def start(self, name, role, fields):
--- a/tests/test_gateway_lost_answers.py
+++ b/tests/test_gateway_lost_answers.py
@@ -23,6 +23,7 @@
 from coltsfootshift.errors import SettingsError
 from coltsfootshift.gateway.exchange import Exchange
 from coltsfootshift.gateway.model import CallerLimits
+from coltsfootshift.gateway.settings_reload import NodeSettings, SettingsReloader
 from coltsfootshift.ids import InstanceId, ServiceName
 from coltsfootshift.settings import Address
 
@@ -444,9 +445,11 @@
 def test_signals_in_series_end_no_request(route, valid, signals):
     """A second signal restarted or cut short the time in which requests are finished."""
     harness = LeavingHarness(endpoints=1)
-    harness.entry.read_seeds = Mock(return_value=(Address("10.0.0.2", 1),))
+    source = Mock()
+    source.parse.return_value = NodeSettings((Address("10.0.0.2", 1),), {})
     if not valid:
-        harness.entry.read_seeds.side_effect = SettingsError("seeds: missing")
+        source.parse.side_effect = SettingsError("seeds: missing")
+    harness.entry.settings = SettingsReloader(source, NodeSettings((), {}))
     caller = connect(harness)
     caller.receive(make_request(route))
     endpoint = harness.accept()
--- /dev/null
+++ b/tests/test_platform_stale_seeds.py
@@ -0,0 +1,82 @@
+"""Processes that started with stale seeds find an entry that their settings file names later.
+
+Processes read their seeds at the start and on SIGHUP only. If all entries that the seeds named had
+left and all processes started anew, no agent found the entry that the file named soon after, and
+no engine got its layers (RECOVER).
+"""
+
+from __future__ import annotations
+
+import signal
+
+import pytest
+from platform_fleet import Fleet, is_ready
+from platform_standins import (
+    CHUNKS,
+    HOST,
+    EngineStandIn,
+    StoreStandIn,
+    find_ports,
+    make_chunk,
+    make_settings,
+    wait_for,
+    write_settings,
+)
+
+RECOVER_SECONDS = 12.0  # from the return of the instances until requests are served
+CONFIG_SECONDS = 2.0  # until a change is in force
+
+
+@pytest.fixture
+def fleet(tmp_path):
+    started = Fleet(tmp_path)
+    yield started
+    started.close()
+
+
+def has_started(program):
+    return any(row["message"] == "started" for row in program.read_lines())
+
+
+def name_seeds(program, fields, seeds):
+    """Replace the settings file in place, as a platform may do."""
+    write_settings(program.settings, {**fields, "seeds": seeds})
+
+
+def find_gone_entry():
+    """Return an address at which no entry listens any more."""
+    return f"{HOST}:{find_ports(1)[0]}"
+
+
+@pytest.mark.parametrize("number_sent", [None, signal.SIGHUP], ids=["no signal", "SIGHUP"])
+def test_agent_that_started_with_stale_seeds_finds_the_entry_named_later(fleet, number_sent):
+    """The file is first seen half written, and then names an entry that lives."""
+    entry, engine, port = fleet.start_entry(), EngineStandIn(), find_ports(1)[0]
+    gone = find_gone_entry()
+    agent = fleet.start_agent(0, engine, [0, 0, int(gone.rpartition(":")[2])], port)
+    wait_for(lambda: is_ready(entry))
+    wait_for(lambda: has_started(agent))
+    fields = fleet.agent_fields[0]
+    assert fields["seeds"] == [gone]
+    agent.settings.write_text("seeds = [", "utf-8")
+    name_seeds(agent, fields, [f"{HOST}:{entry[2]}"])
+    if number_sent is not None:
+        agent.process.send_signal(number_sent)
+    wait_for(lambda: engine.version == 1, RECOVER_SECONDS)
+    assert engine.loaded == {index: make_chunk(1, index) for index in range(CHUNKS)}
+
+
+def test_entry_that_started_with_stale_seeds_finds_the_entry_named_later(fleet):
+    """The store refuses the entry, so that it is ready only once it knows another one."""
+    first = fleet.start_entry("entry-1")
+    refusing = StoreStandIn()
+    refusing.down = 429
+    second = find_ports(6)
+    fields = make_settings("entry-2", refusing.address, second, [find_gone_entry()])
+    program = fleet.start("entry-2", "entry", fields)
+    wait_for(lambda: is_ready(first))
+    wait_for(lambda: has_started(program))
+    assert not is_ready(second)
+    name_seeds(program, fields, [f"{HOST}:{first[2]}"])
+    wait_for(lambda: is_ready(second), CONFIG_SECONDS)
+    refusing.close()
