Dial a neighbour that does not dial in time

Cause: agents tell their neighbours which entries live, but of two agents that choose each other only the first by name dials. An agent with stale seeds knows neither an entry nor its neighbours, and the others wait for it if it is the first in all of its pairs, as the one of the lowest address is in a small region.

Change: an agent that has had no stream to such a neighbour for 2 s dials it too (controllers/neighbour_dials.py). Both ends keep the stream of the first by name once it dials, as they do between entries.

--- a/src/coltsfootshift/controllers/chunk_ranks.py
+++ b/src/coltsfootshift/controllers/chunk_ranks.py
@@ -10,7 +10,7 @@
 from coltsfootshift.controllers.rings import rank_by_hash
 from coltsfootshift.ids import Digest, InstanceId
 
-__all__ = ["ChunkRanks", "choose_neighbours"]
+__all__ = ["ChunkRanks", "choose_neighbours", "split_neighbours"]
 
 NEIGHBOUR_RINGS = 8
 MIX_FACTOR = 0x9E3779B97F4A7C15  # 2**64 divided by the golden ratio (Fibonacci hashing)
@@ -132,17 +132,31 @@
     >>> choose_neighbours("b", {"a": here, "b": here, "c": there}, "kit")
     ['c']
     """
+    return split_neighbours(own, locations, key)[0]
+
+
+def split_neighbours(
+    own: InstanceId, locations: dict[InstanceId, Location], key: str
+) -> tuple[list[str], list[str]]:
+    """Return the peers that this instance dials, and those that it has chosen and that dial it.
+
+    >>> here = Location("north", "n-1")
+    >>> split_neighbours("b", {"a": here, "b": here, "c": here}, "kit")
+    (['c'], ['a'])
+    """
     if own not in locations:
-        return []
+        return [], []
     orders = _order_by_region(locations, key)
     names: list[str] = [*orders[locations[own].region]]
     rings = _build_rings(names, key)
-    peers = []
+    dialled: list[str] = []
+    awaited: list[str] = []
     for peer in _list_candidates(own, locations, rings, orders):
         mutual = own in _list_candidates(peer, locations, rings, orders)
-        if peer not in peers and not (mutual and peer < own):
+        peers = awaited if mutual and peer < own else dialled
+        if peer not in peers:
             peers.append(peer)
-    return peers
+    return dialled, awaited
 
 
 def _build_rings(names: list[str], key: str) -> list[list[str]]:
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -14,7 +14,7 @@
 from twisted.internet.task import LoopingCall
 
 from coltsfootshift.controllers.base import Event
-from coltsfootshift.controllers.chunk_ranks import choose_neighbours
+from coltsfootshift.controllers.chunk_ranks import split_neighbours
 from coltsfootshift.controllers.chunks import (
     ORIGIN,
     ChunkFailed,
@@ -39,6 +39,7 @@
     WeightsWanted,
     unpack_bitfield,
 )
+from coltsfootshift.controllers.neighbour_dials import NeighbourDials
 from coltsfootshift.controllers.verification import MAX_ENGINE_SILENCE_SECONDS, VerifiedChunks
 from coltsfootshift.controllers.waves import LoadWaves, ServingState, order_loads
 from coltsfootshift.controllers.weights import WeightsController
@@ -168,6 +169,7 @@
         self._dialer = Dialer(context, Purpose.WEIGHTS, self, rng)
         self._streams: dict[InstanceId, PeerStream] = {}
         self._addresses: dict[InstanceId, Address] = {}
+        self._neighbour_dials = NeighbourDials()
         self._locations: dict[InstanceId, Location] = {}
         self._version_selector = VersionSelector()
         self._origin: tuple[Address, VersionOrigin] | None = None
@@ -307,8 +309,8 @@
         if addresses == self._addresses and locations == self._locations:
             return
         self._addresses, self._locations = addresses, locations
-        peers = choose_neighbours(self._own, locations, self._service)
-        self._dialer.set_targets({InstanceId(name): addresses[InstanceId(name)] for name in peers})
+        self._neighbour_dials.update(*split_neighbours(self._own, locations, self._service))
+        self._dial_neighbours()
         order = order_loads(locations, self._service)
         min_serving = int(MIN_SERVING_SHARE * len(order))
         first = frozenset(order[: len(order) - min_serving])
@@ -316,6 +318,11 @@
         self._digest_cache.set_instances(locations)
         self._waves.set_instances(tuple(order), min_serving, self.reactor.seconds())
 
+    def _dial_neighbours(self) -> None:
+        names = self._neighbour_dials.choose(self._streams, self.reactor.seconds())
+        targets = {InstanceId(name): self._addresses[InstanceId(name)] for name in names}
+        self._dialer.set_targets(targets)
+
     def _choose_version(self) -> None:
         spec = self._find_spec()
         if spec is None or not spec.models:
@@ -346,6 +353,7 @@
         now = self.reactor.seconds()
         self._tables.record_running(now)
         self._dispatch(WeightsTick())
+        self._dial_neighbours()
         self._choose_version()
         self._start_step()
 
--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -34,10 +34,12 @@
         self.store.put("op/config", make_config(3, self.origin.address))
         self.store.put("servers/e-1", make_record(PLAIN_SERVICE, self.endpoint.address))
 
-    def start_entry(self, name="entry-1", store=None, seeds=(), **bounds):
+    def start_entry(self, name="entry-1", store=None, seeds=(), agent_port=None, **bounds):
         ports = find_ports(6)
         fields = make_settings(name, store or self.store.address, ports, list(seeds))
         fields["bounds"] = {**BOUNDS, **bounds}
+        if agent_port is not None:
+            fields["port_range"] = [agent_port, ports[-1]]
         self.start(name, "entry", fields)
         return ports
 
--- a/tests/test_platform_stale_seeds.py
+++ b/tests/test_platform_stale_seeds.py
@@ -80,3 +80,27 @@
     name_seeds(program, fields, [f"{HOST}:{first[2]}"])
     wait_for(lambda: is_ready(second), CONFIG_SECONDS)
     refusing.close()
+
+
+AGENTS = 4  # the names of agents follow from their addresses, so that agent 0 is the first by name
+
+
+@pytest.mark.parametrize(
+    "stale",
+    [range(1), range(3)],
+    ids=["first by name", "all but one"],
+)
+def test_agents_whose_seeds_stay_stale_are_told_of_an_entry(fleet, stale):
+    """No settings file ever names an entry that lives, and no agent has ever known one.
+
+    Agents hear of entries from their neighbours, of which each pair waited for the first by name
+    to dial.
+    """
+    port, gone = find_ports(1)[0], find_gone_entry()
+    entry = fleet.start_entry(agent_port=port)
+    wait_for(lambda: is_ready(entry))
+    engines = [EngineStandIn() for _ in range(AGENTS)]
+    for number, engine in enumerate(engines):
+        seed = int(gone.rpartition(":")[2]) if number in stale else entry[2]
+        fleet.start_agent(number, engine, [0, 0, seed], port)
+    wait_for(lambda: [engine.version for engine in engines] == [1] * AGENTS, RECOVER_SECONDS)
