Introduce an entry to agents if none of them has dialled it

What callers would see: all entries that the seeds name are lost, all instances lose power, and the settings files are not corrected.

Cause: only agents dial. One that knows no entry learns of one from its seeds or from a neighbour, and it knows its neighbours from an entry. The entry, though, reads from the store on which instances there are engines, and agents listen on the same port everywhere.

A dialled agent is sent the known entries, dials one itself and tells its neighbours.

Weighed: agents that read the store would find each other, but no entry, since it does not list them; an agent that dials the hosts of its failure domain would have to guess their addresses.

Several entries that know nobody do not learn of each other this way: open.

--- a/src/coltsfootshift/gateway/agent_node.py
+++ b/src/coltsfootshift/gateway/agent_node.py
@@ -63,8 +63,9 @@
         self.rollout.refresh()
 
     def start_role(self) -> None:
-        """Listen for other agents and start the rollout task."""
+        """Listen for other agents and for entries, and start the rollout task."""
         self.listener.register(Purpose.WEIGHTS, self.rollout)
+        self.listener.register(Purpose.ENTRIES, self.fleet)
         self.rollout.start(self.started_ms)
 
     def stop_new_work(self, schedule: StopSchedule) -> None:
--- a/src/coltsfootshift/gateway/entry_node.py
+++ b/src/coltsfootshift/gateway/entry_node.py
@@ -18,6 +18,7 @@
 from coltsfootshift.gateway.endpoint_list import ENGINE_STATUS_TTL_SECONDS, EngineStatus
 from coltsfootshift.gateway.entry_view import EntryView, SeedContact
 from coltsfootshift.gateway.fleet import make_entry_row
+from coltsfootshift.gateway.introductions import AgentIntroductions
 from coltsfootshift.gateway.nodes import (
     DRAIN_CHECK_INTERVAL_SECONDS,
     MILLISECONDS_PER_SECOND,
@@ -63,7 +64,11 @@
 
 
 class GatewayEntry(GatewayNode, TableConsumer):
-    """Accepts callers' requests, places them on endpoints and answers directory queries."""
+    """Accepts callers' requests, places them on endpoints and answers directory queries.
+
+    `agent_port` is the port on which the agents beside model engines listen for peers, if there are
+    any.
+    """
 
     role = Role.ENTRY
 
@@ -76,6 +81,7 @@
         callers: Address,
         bounds: GatewayBounds,
         regions: Mapping[str, str] | None = None,
+        agent_port: int | None = None,
     ) -> None:
         started_ms = int(time.time() * MILLISECONDS_PER_SECOND)
         row = make_entry_row(
@@ -100,6 +106,17 @@
         self.gateway.cold.notify_peers = self.fleet.notify_peers
         self.gateway.cold.read_entries = self._read_entries
         self.gateway.cold.view = EntryView(config.instance, reactor.seconds())
+        self._introductions: AgentIntroductions | None = None
+        if agent_port is not None:
+            self._introductions = AgentIntroductions(
+                self.context,
+                self.tables,
+                self.fleet,
+                agent_port,
+                regions or {},
+                lambda: self.stop_schedule is not None,
+                self.rng,
+            )
         self._started_at = reactor.seconds()
         self._store_seconds = inf
         self._directory_homes = DirectoryHomes()
@@ -229,6 +246,8 @@
             self._callers.port, self._caller_factory, backlog=512, interface=self._callers.host
         )
         self.gateway.start()
+        if self._introductions is not None:
+            self._introductions.start()
         assert self.source is not None
         self.source.start()
 
--- a/src/coltsfootshift/gateway/fleet.py
+++ b/src/coltsfootshift/gateway/fleet.py
@@ -177,6 +177,14 @@
         self._seeds = seeds
         self._choose_peers()
 
+    def is_dialled_by_agent(self) -> bool:
+        """Return whether an agent has dialled this process and is connected."""
+        return any(
+            stream.peer_role == Role.AGENT.value and not stream.dialled
+            for streams in self._streams.values()
+            for stream in streams
+        )
+
     def find_seed_contact(self) -> SeedContact:
         """Return how many of the seeds are live entries, this one included."""
         known = {Address(row.host, row.peer_port) for row in self._roster.list_rows()}
--- a/tests/test_platform_stale_seeds.py
+++ b/tests/test_platform_stale_seeds.py
@@ -87,14 +87,14 @@
 
 @pytest.mark.parametrize(
     "stale",
-    [range(1), range(3)],
-    ids=["first by name", "all but one"],
+    [range(1), range(3), range(AGENTS)],
+    ids=["first by name", "all but one", "all"],
 )
 def test_agents_whose_seeds_stay_stale_are_told_of_an_entry(fleet, stale):
     """No settings file ever names an entry that lives, and no agent has ever known one.
 
     Agents hear of entries from their neighbours, of which each pair waited for the first by name
-    to dial.
+    to dial; and if all agents had restarted, none of them knew an entry.
     """
     port, gone = find_ports(1)[0], find_gone_entry()
     entry = fleet.start_entry(agent_port=port)
