Report an unusable settings file only if it stays so

What operators would see: an error in the log of a process whose settings file was seen while it was being written. The previous settings were kept, as they should be.

Cause: every check that found the file unusable reported it. A file that is written in place is empty or incomplete for a moment, and a check every 0.5 s meets that moment now and then.

Change: a problem is reported once if two checks in a row find it, and always on SIGHUP. The file counts as changed as before.

--- a/src/coltsfootshift/gateway/settings_reload.py
+++ b/src/coltsfootshift/gateway/settings_reload.py
@@ -45,8 +45,9 @@
     Load pattern: all entries that the seeds name are lost, and the file names others some seconds
     after the processes have started again, without a signal. Contents are compared, since a file
     may be replaced by one of the same size and time. A file that is missing, incomplete or invalid
-    changes nothing and is reported once; so does one without seeds, since a process without any
-    could find no entry and would take itself for the only one.
+    changes nothing; neither does one without seeds, since a process without any could find no entry
+    and would take itself for the only one. Such a problem is reported once, if two checks in a row
+    find it: a file that is being written is whole soon after.
     """
 
     def __init__(self, source: SettingsSource, in_force: NodeSettings) -> None:
@@ -54,6 +55,7 @@
         self._source = source
         self._in_force = in_force
         self._content: bytes | None = None
+        self._reported = ""
         self._outdated: tuple[str, ...] = ()
 
     def check(self) -> tuple[Address, ...] | None:
@@ -70,6 +72,7 @@
         try:
             self._content = self._source.read()
             if self._content == previous and not is_requested:
+                self._report_problem(self.problem, is_requested)
                 return None
             settings = self._source.parse(self._content)
         except SettingsError as error:
@@ -78,7 +81,7 @@
         if not settings.seeds and self._in_force.seeds:
             self._report_problem("seeds: none are named", is_requested)
             return None
-        self.problem = ""
+        self.problem = self._reported = ""
         self._report_outdated(settings.fixed)
         changed = settings.seeds != self._in_force.seeds
         self._in_force = NodeSettings(settings.seeds, self._in_force.fixed)
@@ -88,10 +91,11 @@
         return settings.seeds if changed else None
 
     def _report_problem(self, problem: str, is_requested: bool) -> None:
-        if problem == self.problem and not is_requested:
-            return
+        is_lasting = problem == self.problem != self._reported
         self.problem = problem
-        logger.error("reload failed, previous settings kept", extra={"cause": problem})
+        if is_lasting or is_requested:
+            self._reported = problem
+            logger.error("reload failed, previous settings kept", extra={"cause": problem})
 
     def _report_outdated(self, fixed: Mapping[str, object]) -> None:
         """Report which settings in force differ from the file, if these are others than before."""
--- a/tests/test_settings_reload.py
+++ b/tests/test_settings_reload.py
@@ -82,6 +82,33 @@
     assert seen == problems
 
 
+@pytest.mark.parametrize(
+    ("contents", "reported"),
+    [
+        ([INVALID, [OLD], INVALID, [OLD]], []),
+        ([INVALID, INVALID, INVALID, INVALID], ["invalid"]),
+        ([MISSING, MISSING, MISSING], ["missing"]),
+        ([INVALID, INVALID, [OLD], INVALID, INVALID], ["invalid", "invalid"]),
+        ([INVALID, INVALID, MISSING, MISSING, INVALID, INVALID], ["invalid", "missing", "invalid"]),
+        ([INVALID, MISSING, INVALID, [OLD]], []),
+        ([[OLD], [OLD], [], []], ["seeds: none are named"]),
+    ],
+)
+def test_problem_that_lasts_is_reported_once(caplog, contents, reported):
+    """A file that is being written is incomplete for a moment, which is no fault."""
+    reloader = SettingsReloader(Source(contents), NodeSettings((OLD,), {}))
+    for _ in contents:
+        reloader.check()
+    assert [row.cause for row in caplog.records if row.levelname == "ERROR"] == reported
+
+
+def test_problem_is_reported_at_each_request(caplog):
+    reloader = SettingsReloader(Source([INVALID] * 3), NodeSettings((OLD,), {}))
+    for _ in range(3):
+        reloader.reload()
+    assert [row.cause for row in caplog.records] == ["invalid"] * 3
+
+
 def test_unchanged_content_is_not_parsed_again():
     source = Source([[OLD]] * 9 + [INVALID] * 9)
     reloader = SettingsReloader(source, NodeSettings((OLD,), {}))
