Stop dialling a neighbour once it dials itself

Cause, suspected: since both ends of a pair may go on dialling. A stream over which heartbeats are late by half an interval gives way to a new one of the other end, so that a slow link loses the chunks on their way.

Change: a neighbour that is to dial, and has done so, is no longer dialled by this end. One that knows nobody is, as before, until it knows this agent and dials.

--- a/src/coltsfootshift/controllers/neighbour_dials.py
+++ b/src/coltsfootshift/controllers/neighbour_dials.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Container, Iterable
+from collections.abc import Iterable, Mapping
 
 __all__ = ["NeighbourDials"]
 
@@ -15,13 +15,16 @@
 
     Load pattern: an agent has restarted with stale seeds, so that it knows neither an entry nor its
     neighbours. Of two agents that choose each other the first by name dials, so that nobody would
-    dial that agent, and tell it which entries live, if it is the first of all of its pairs. Once
-    dialled, a neighbour stays among the targets: a stream of its own replaces this one.
+    dial that agent, and tell it which entries live, if it is the first of all of its pairs. Once it
+    dials itself it is no longer dialled: a slow link would have either end replace a stream that
+    the other one has dialled, with the chunks on their way.
 
     >>> dials = NeighbourDials()
     >>> dials.update(["b"], ["a"])
-    >>> dials.choose({"b"}, 0.0), dials.choose({"b"}, 1.9), dials.choose({"b"}, 2.0)
-    (['b'], ['b'], ['b', 'a'])
+    >>> [dials.choose({}, now) for now in (0.0, 1.9, 2.0)]
+    [['b'], ['b'], ['b', 'a']]
+    >>> dials.choose({"a": True}, 2.1), dials.choose({"a": False}, 2.2)
+    (['b', 'a'], ['b'])
     """
 
     def __init__(self) -> None:
@@ -38,11 +41,16 @@
         self._missing_since = {name: self._missing_since.get(name) for name in awaited}
         self._overdue &= self._missing_since.keys()
 
-    def choose(self, connected: Container[str], now: float) -> list[str]:
-        """Return the neighbours to dial; `connected` are those with an open stream."""
+    def choose(self, streams: Mapping[str, bool], now: float) -> list[str]:
+        """Return the neighbours to dial.
+
+        `streams` holds those with an open stream, and whether this agent has dialled it.
+        """
         for name, since in self._missing_since.items():
-            if name in connected:
+            if name in streams:
                 self._missing_since[name] = None
+                if not streams[name]:
+                    self._overdue.discard(name)
                 continue
             if since is None:
                 self._missing_since[name] = now
--- a/src/coltsfootshift/gateway/rollout.py
+++ b/src/coltsfootshift/gateway/rollout.py
@@ -319,7 +319,8 @@
         self._waves.set_instances(tuple(order), min_serving, self.reactor.seconds())
 
     def _dial_neighbours(self) -> None:
-        names = self._neighbour_dials.choose(self._streams, self.reactor.seconds())
+        streams: dict[str, bool] = {name: stream.dialled for name, stream in self._streams.items()}
+        names = self._neighbour_dials.choose(streams, self.reactor.seconds())
         targets = {InstanceId(name): self._addresses[InstanceId(name)] for name in names}
         self._dialer.set_targets(targets)
 
--- a/tests/rollout_cluster.py
+++ b/tests/rollout_cluster.py
@@ -112,6 +112,7 @@
         self.peer_id = target.name
         self.peer = Mock(region=target.region, failure_domain=target.region)
         self.reverse = None
+        self.dialled = source.name < target.name
 
     def send(self, message):
         changed = self.change(message)
