Report an unusable settings file after SIGHUP only if it stays so

Cause: a reload on request reported every problem at once, unlike the checks since. The soak changes a file twice in quick succession and signals each change, so that the first signal is handled while the file is written for the second time.

Change: a reload on request counts as a check. A problem is reported if the next one finds it too, and again after each request.

--- a/src/coltsfootshift/gateway/settings_reload.py
+++ b/src/coltsfootshift/gateway/settings_reload.py
@@ -63,7 +63,11 @@
         return self._load(is_requested=False)
 
     def reload(self) -> tuple[Address, ...]:
-        """Read the file on request of the operator; return the seeds that are in force now."""
+        """Read the file on request of the operator; return the seeds that are in force now.
+
+        A problem is reported again, if the next check finds it too.
+        """
+        self._reported = ""
         self._load(is_requested=True)
         return self._in_force.seeds
 
@@ -72,14 +76,14 @@
         try:
             self._content = self._source.read()
             if self._content == previous and not is_requested:
-                self._report_problem(self.problem, is_requested)
+                self._report_problem(self.problem)
                 return None
             settings = self._source.parse(self._content)
         except SettingsError as error:
-            self._report_problem(str(error), is_requested)
+            self._report_problem(str(error))
             return None
         if not settings.seeds and self._in_force.seeds:
-            self._report_problem("seeds: none are named", is_requested)
+            self._report_problem("seeds: none are named")
             return None
         self.problem = self._reported = ""
         self._report_outdated(settings.fixed)
@@ -90,10 +94,10 @@
             logger.info("settings reloaded", extra={"seeds": addresses})
         return settings.seeds if changed else None
 
-    def _report_problem(self, problem: str, is_requested: bool) -> None:
+    def _report_problem(self, problem: str) -> None:
         is_lasting = problem == self.problem != self._reported
         self.problem = problem
-        if is_lasting or is_requested:
+        if is_lasting:
             self._reported = problem
             logger.error("reload failed, previous settings kept", extra={"cause": problem})
 
